--- /dev/null
+++ b/libraries/base/clock.hpp
@@ -0,0 +1,40 @@
+/// The one clock of the project: monotonic milliseconds that keep counting while a process is stopped.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace caraway {
+
+/// A span of time in milliseconds; fractions are kept, since a call may take less than one.
+struct duration {
+    double milliseconds{0};
+
+    auto operator<=>(duration const&) const = default;
+    duration operator+(duration other) const { return {this->milliseconds + other.milliseconds}; }
+    duration operator-(duration other) const { return {this->milliseconds - other.milliseconds}; }
+    duration operator*(double factor) const { return {this->milliseconds * factor}; }
+    double operator/(duration other) const { return this->milliseconds / other.milliseconds; }
+    /// The same span in seconds, the unit of rates.
+    double seconds() const { return this->milliseconds / 1000.0; }
+};
+
+/// An instant of the host's monotonic clock; instants of two hosts can't be compared.
+struct time_point {
+    double milliseconds{0};
+
+    auto operator<=>(time_point const&) const = default;
+    time_point operator+(duration span) const { return {this->milliseconds + span.milliseconds}; }
+    time_point operator-(duration span) const { return {this->milliseconds - span.milliseconds}; }
+    duration operator-(time_point other) const { return {this->milliseconds - other.milliseconds}; }
+};
+
+/// Reads the boot-time clock, so that a right held over a pause or a suspend is seen to have lapsed.
+struct monotonic_clock {
+    static time_point now();
+};
+
+/// Nanoseconds since the epoch; for traces and logs only, never for a decision.
+std::uint64_t wall_clock_nanoseconds();
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/config/configuration.cpp
@@ -0,0 +1,208 @@
+#include "config/configuration.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <map>
+#include <optional>
+
+namespace caraway {
+
+namespace {
+
+constexpr double weight_tolerance = 1e-6;
+
+constexpr std::array<std::string_view, priority_class_count> priority_names{"critical", "normal", "background"};
+
+constexpr std::array<std::string_view, 7> methods{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
+
+std::optional<priority_class> priority_from(std::string const& name) {
+    auto const* found = std::ranges::find(priority_names, name);
+    if (found == priority_names.end()) {
+        return std::nullopt;
+    }
+    return static_cast<priority_class>(found - priority_names.begin());
+}
+
+double number_or(field_map const& fields, std::string const& name, double fallback) {
+    auto const* found = find_field(fields, name);
+    return found == nullptr ? fallback : std::get<double>(found->value);
+}
+
+bool boolean_or(field_map const& fields, std::string const& name, bool fallback) {
+    auto const* found = find_field(fields, name);
+    return found == nullptr ? fallback : std::get<bool>(found->value);
+}
+
+std::string text_or(field_map const& fields, std::string const& name, std::string fallback) {
+    auto const* found = find_field(fields, name);
+    return found == nullptr ? std::move(fallback) : std::get<std::string>(found->value);
+}
+
+auto fail_at(result_code code, std::string message, field_map const& fields, std::string const& name) {
+    auto const* place = find_field(fields, name);
+    return fail({code, std::move(message), place == nullptr ? "" : place->file, place == nullptr ? 0 : place->line});
+}
+
+item_map const& section_of(item_set const& items, std::string const& section) {
+    static item_map const empty;
+    auto const found = items.find(section);
+    return found == items.end() ? empty : found->second;
+}
+
+bool is_hexadecimal(std::string const& text) {
+    return std::ranges::all_of(
+        text, [](char digit) { return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f'); });
+}
+
+bool path_matches(std::string_view prefix, std::string_view path) {
+    if (!path.starts_with(prefix)) {
+        return false;
+    }
+    return path.size() == prefix.size() || prefix.ends_with('/') || path[prefix.size()] == '/';
+}
+
+} // namespace
+
+std::string_view name_of(priority_class value) { return priority_names.at(static_cast<std::size_t>(value)); }
+
+result<std::shared_ptr<configuration const>> configuration::create(item_set const& items, std::uint64_t revision) {
+    BOOST_LEAF_CHECK(check_required(folder_fields(), items));
+    auto built = std::make_shared<configuration>();
+    built->revision_number = revision;
+    BOOST_LEAF_CHECK(built->add_organisations(items));
+    BOOST_LEAF_CHECK(built->add_keys(items));
+    BOOST_LEAF_CHECK(built->add_services(items));
+    BOOST_LEAF_CHECK(built->add_routes(items));
+    BOOST_LEAF_CHECK(built->add_domains(items));
+    return std::shared_ptr<configuration const>(std::move(built));
+}
+
+result<void> configuration::add_organisations(item_set const& items) {
+    for (auto const& [name, fields] : section_of(items, "organisations")) {
+        this->organisation_table[name] = {name, number_or(fields, "rate", 0), number_or(fields, "burst", 1),
+                                          number_or(fields, "weight", 1)};
+    }
+    return {};
+}
+
+result<void> configuration::add_keys(item_set const& items) {
+    std::unordered_map<std::string, std::string> names;
+    for (auto const& [name, fields] : section_of(items, "keys")) {
+        auto const hash = text_or(fields, "sha256", "");
+        auto const owner = text_or(fields, "organisation", "");
+        if (!is_hexadecimal(hash)) {
+            return fail_at(result_code::configuration_out_of_bounds,
+                           "'keys." + name + ".sha256' must be lower-case hexadecimal digits.", fields, "sha256");
+        }
+        if (!this->organisation_table.contains(owner)) {
+            return fail_at(result_code::configuration_reference,
+                           "'keys." + name + "' names the organisation '" + owner + "', which is not defined.", fields,
+                           "organisation");
+        }
+        auto const [other, inserted] = names.emplace(hash, name);
+        if (!inserted) {
+            return fail_at(result_code::configuration_duplicate,
+                           "'keys." + name + "' has the same hash as 'keys." + other->second + "'.", fields, "sha256");
+        }
+        this->key_table[hash] = owner;
+    }
+    return {};
+}
+
+result<void> configuration::add_services(item_set const& items) {
+    for (auto const& [name, fields] : section_of(items, "services")) {
+        this->service_table[name] = {name, static_cast<int>(number_or(fields, "slots", 1)),
+                                     static_cast<int>(number_or(fields, "connections", 1))};
+    }
+    return {};
+}
+
+result<void> configuration::add_routes(item_set const& items) {
+    std::map<std::pair<std::string, std::string>, std::string> seen;
+    for (auto const& [name, fields] : section_of(items, "routes")) {
+        route entry{.name = name,
+                    .method = text_or(fields, "method", ""),
+                    .path = text_or(fields, "path", ""),
+                    .service = text_or(fields, "service", ""),
+                    .idempotent = boolean_or(fields, "idempotent", true),
+                    .open = boolean_or(fields, "open", false),
+                    .retry_allowance = static_cast<int>(number_or(fields, "retry_allowance", 2)),
+                    .deadline_ms = number_or(fields, "deadline_ms", 5000)};
+        auto const priority = priority_from(text_or(fields, "class", "normal"));
+        if (!priority) {
+            return fail_at(result_code::configuration_out_of_bounds,
+                           "'routes." + name + ".class' must be critical, normal or background.", fields, "class");
+        }
+        entry.priority = *priority;
+        if (std::ranges::find(methods, entry.method) == methods.end() || !entry.path.starts_with('/')) {
+            return fail_at(result_code::configuration_out_of_bounds,
+                           "'routes." + name + "' needs an HTTP method in capitals and a path that begins with '/'.",
+                           fields, "method");
+        }
+        if (!this->service_table.contains(entry.service)) {
+            return fail_at(result_code::configuration_reference,
+                           "'routes." + name + "' names the service '" + entry.service + "', which is not defined.",
+                           fields, "service");
+        }
+        auto const [other, inserted] = seen.emplace(std::pair{entry.method, entry.path}, name);
+        if (!inserted) {
+            return fail_at(result_code::configuration_duplicate,
+                           "'routes." + name + "' has the same method and path as 'routes." + other->second + "'.",
+                           fields, "path");
+        }
+        this->route_list.push_back(std::move(entry));
+    }
+    std::ranges::stable_sort(this->route_list, std::greater{}, [](route const& entry) { return entry.path.size(); });
+    return {};
+}
+
+result<void> configuration::add_domains(item_set const& items) {
+    double total = 0;
+    double previous_total = 0;
+    for (auto const& [name, fields] : section_of(items, "failure_domains")) {
+        auto const weight = number_or(fields, "weight", 0);
+        auto const previous = number_or(fields, "previous_weight", weight);
+        this->domain_table[name] = {name, weight, std::min(weight, previous)};
+        total += weight;
+        previous_total += previous;
+    }
+    if (std::abs(total - 1) > weight_tolerance || previous_total > 1 + weight_tolerance) {
+        auto const& domains = section_of(items, "failure_domains");
+        return fail_at(result_code::configuration_out_of_bounds,
+                       "The weights of all failure domains must sum to 1, the previous ones to at most 1; they sum to " +
+                           std::to_string(total) + " and " + std::to_string(previous_total) + ".",
+                       domains.empty() ? field_map{} : domains.begin()->second, "weight");
+    }
+    return {};
+}
+
+organisation const* configuration::find_organisation_by_key(std::string const& key_sha256) const {
+    auto const found = this->key_table.find(key_sha256);
+    return found == this->key_table.end() ? nullptr : this->find_organisation(found->second);
+}
+
+organisation const* configuration::find_organisation(std::string const& name) const {
+    auto const found = this->organisation_table.find(name);
+    return found == this->organisation_table.end() ? nullptr : &found->second;
+}
+
+service const* configuration::find_service(std::string const& name) const {
+    auto const found = this->service_table.find(name);
+    return found == this->service_table.end() ? nullptr : &found->second;
+}
+
+route const* configuration::find_route(std::string_view method, std::string_view target) const {
+    auto const path = target.substr(0, target.find('?'));
+    auto const found = std::ranges::find_if(this->route_list, [&](route const& entry) {
+        return entry.method == method && path_matches(entry.path, path);
+    });
+    return found == this->route_list.end() ? nullptr : &*found;
+}
+
+route const* configuration::find_route_by_name(std::string_view name) const {
+    auto const found = std::ranges::find(this->route_list, name, &route::name);
+    return found == this->route_list.end() ? nullptr : &*found;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/config/item_set.cpp
@@ -0,0 +1,205 @@
+#include "config/item_set.hpp"
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+namespace caraway {
+
+namespace {
+
+int line_of(toml::node const& node) { return static_cast<int>(node.source().begin.line); }
+
+problem located(result_code code, std::string message, located_value const& place) {
+    return {code, std::move(message), place.file, place.line};
+}
+
+value_type type_of(located_value const& value) { return static_cast<value_type>(value.value.index()); }
+
+std::string number_text(double number) {
+    std::ostringstream stream;
+    stream << number;
+    return stream.str();
+}
+
+result<located_value> convert(toml::node const& node, std::string const& file, std::string const& name) {
+    located_value converted{.file = file, .line = line_of(node)};
+    if (node.is_number()) {
+        converted.value = node.value<double>().value_or(0);
+        return converted;
+    }
+    if (auto const boolean = node.value_exact<bool>()) {
+        converted.value = *boolean;
+        return converted;
+    }
+    if (auto const text = node.value_exact<std::string>()) {
+        converted.value = *text;
+        return converted;
+    }
+    auto const* list = node.as_array();
+    if (list == nullptr) {
+        return fail(located(result_code::configuration_wrong_type,
+                            "'" + name + "' is neither number, boolean, text nor list.", converted));
+    }
+    std::vector<std::string> texts;
+    for (auto const& element : *list) {
+        auto const text = element.value_exact<std::string>();
+        if (!text) {
+            return fail(located(result_code::configuration_wrong_type, "'" + name + "' holds more than texts.",
+                                converted));
+        }
+        texts.push_back(*text);
+    }
+    converted.value = std::move(texts);
+    return converted;
+}
+
+result<void> read_fields(toml::table const& table, std::string const& file, std::string const& section,
+                         std::span<field const> schema, field_map& fields) {
+    for (auto const& [key, node] : table) {
+        std::string const name(key.str());
+        BOOST_LEAF_AUTO(value, convert(node, file, section + "." + name));
+        BOOST_LEAF_CHECK(check_value(schema, section, name, value));
+        fields[name] = std::move(value);
+    }
+    return {};
+}
+
+result<void> read_section(std::string const& section, toml::node const& node, std::string const& file,
+                          file_shape shape, std::span<field const> schema, item_set& items) {
+    bool const known = std::ranges::any_of(schema, [&](field const& entry) { return entry.section == section; });
+    if (!known) {
+        return fail({result_code::configuration_unknown_name, "No section is named '" + section + "'.", file,
+                     line_of(node)});
+    }
+    auto const* table = node.as_table();
+    if (table == nullptr) {
+        return fail(
+            {result_code::configuration_wrong_type, "'" + section + "' must be a table.", file, line_of(node)});
+    }
+    if (shape == file_shape::plain_tables) {
+        return read_fields(*table, file, section, schema, items[section][""]);
+    }
+    for (auto const& [key, item] : *table) {
+        std::string const name(key.str());
+        auto const* fields = item.as_table();
+        if (fields == nullptr || name.empty()) {
+            return fail({result_code::configuration_wrong_type,
+                         "'" + section + "." + name + "' must be a named table.", file, line_of(item)});
+        }
+        BOOST_LEAF_CHECK(read_fields(*fields, file, section, schema, items[section][name]));
+    }
+    return {};
+}
+
+} // namespace
+
+result<void> check_value(std::span<field const> schema, std::string const& section, std::string const& name,
+                         located_value const& value) {
+    auto const found = std::ranges::find_if(
+        schema, [&](field const& entry) { return entry.section == section && entry.name == name; });
+    auto const full_name = "'" + section + "." + name + "'";
+    if (found == schema.end()) {
+        return fail(located(result_code::configuration_unknown_name, "No setting is named " + full_name + ".", value));
+    }
+    if (type_of(value) != found->type) {
+        return fail(located(result_code::configuration_wrong_type,
+                            full_name + " must be " + std::string(name_of(found->type)) + ".", value));
+    }
+    double measure = found->low;
+    if (auto const* number = std::get_if<double>(&value.value)) {
+        measure = *number;
+    } else if (auto const* text = std::get_if<std::string>(&value.value)) {
+        measure = static_cast<double>(text->size());
+    }
+    // Written so that a value that is not a number fails as well.
+    bool const inside = measure >= found->low && measure <= found->high;
+    if (!inside) {
+        return fail(located(result_code::configuration_out_of_bounds,
+                            full_name + " must be from " + number_text(found->low) + " to " +
+                                number_text(found->high) + (found->type == value_type::text ? " characters" : "") + ".",
+                            value));
+    }
+    return {};
+}
+
+result<void> check_required(std::span<field const> schema, item_set const& items) {
+    for (auto const& [section, section_items] : items) {
+        for (auto const& [name, fields] : section_items) {
+            for (auto const& entry : schema) {
+                if (entry.section != section || !entry.required || fields.contains(std::string(entry.name))) {
+                    continue;
+                }
+                auto const item = name.empty() ? section : section + "." + name;
+                located_value const place = fields.empty() ? located_value{} : fields.begin()->second;
+                return fail(located(result_code::configuration_missing,
+                                    "'" + item + "' has no '" + std::string(entry.name) + "'.", place));
+            }
+        }
+    }
+    return {};
+}
+
+result<void> read_text(std::string const& text, std::string const& file, file_shape shape,
+                       std::span<field const> schema, item_set& items) {
+    toml::table table;
+    try {
+        table = toml::parse(text, file);
+    } catch (toml::parse_error const& error) {
+        std::string const message(error.description());
+        bool const duplicate = message.find("redefine") != std::string::npos;
+        return fail({duplicate ? result_code::configuration_duplicate : result_code::configuration_syntax,
+                     message + ".", file, static_cast<int>(error.source().begin.line)});
+    }
+    for (auto const& [key, node] : table) {
+        BOOST_LEAF_CHECK(read_section(std::string(key.str()), node, file, shape, schema, items));
+    }
+    return {};
+}
+
+result<void> read_file(std::filesystem::path const& path, file_shape shape, std::span<field const> schema,
+                       item_set& items) {
+    std::ifstream stream(path, std::ios::binary);
+    std::ostringstream content;
+    content << stream.rdbuf();
+    if (!stream) {
+        return fail({result_code::configuration_unreadable, "The file can't be read.", path.string()});
+    }
+    if (content.str().size() > max_value_bytes) {
+        return fail({result_code::configuration_too_large, "The file is over " + std::to_string(max_value_bytes) +
+                                                               " bytes.",
+                     path.string()});
+    }
+    return read_text(content.str(), path.string(), shape, schema, items);
+}
+
+result<item_set> read_folder(std::filesystem::path const& folder) {
+    std::error_code error;
+    std::vector<std::filesystem::path> files;
+    for (auto const& entry : std::filesystem::directory_iterator(folder, error)) {
+        if (entry.path().extension() == ".toml") {
+            files.push_back(entry.path());
+        }
+    }
+    if (error) {
+        return fail({result_code::configuration_unreadable, error.message() + ".", folder.string()});
+    }
+    if (files.empty()) {
+        return fail({result_code::configuration_unreadable, "The folder holds no .toml file.", folder.string()});
+    }
+    std::ranges::sort(files);
+    item_set items;
+    for (auto const& file : files) {
+        BOOST_LEAF_CHECK(read_file(file, file_shape::named_items, folder_fields(), items));
+    }
+    return items;
+}
+
+located_value const* find_field(field_map const& fields, std::string const& name) {
+    auto const found = fields.find(name);
+    return found == fields.end() ? nullptr : &found->second;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/config/settings.cpp
@@ -0,0 +1,146 @@
+#include "config/settings.hpp"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace caraway {
+
+namespace {
+
+constexpr std::array<std::string_view, 3> mode_names{"full", "per_host", "off"};
+constexpr std::array<std::string_view, 5> log_levels{"trace", "debug", "info", "warn", "error"};
+constexpr std::size_t seed_parts = 4;
+
+/// Looks settings up by section and name, with their defaults.
+class settings_reader {
+public:
+    explicit settings_reader(item_set const& read_items) : items(read_items) {}
+
+    located_value const* find(std::string const& section, std::string const& name) const {
+        auto const found = this->items.find(section);
+        return found == this->items.end() ? nullptr : find_field(found->second.at(""), name);
+    }
+
+    template<typename T>
+    T get_or(std::string const& section, std::string const& name, T fallback) const {
+        auto const* found = this->find(section, name);
+        return found == nullptr ? fallback : std::get<T>(found->value);
+    }
+
+    result<endpoint> address(std::string const& name) const {
+        auto const* found = this->find("addresses", name);
+        return boost::leaf::try_handle_some(
+            [&]() -> result<endpoint> { return parse_endpoint(std::get<std::string>(found->value)); },
+            [&](problem cause) -> result<endpoint> {
+                cause.message = "'addresses." + name + "': " + cause.message;
+                cause.file = found->file;
+                cause.line = found->line;
+                return fail(cause);
+            });
+    }
+
+private:
+    item_set const& items;
+};
+
+result<seed_peer> parse_seed(std::string const& text, located_value const& place) {
+    std::array<std::string, seed_parts> parts;
+    std::size_t begin = 0;
+    for (std::size_t index = 0; index < seed_parts; ++index) {
+        auto const end = index + 1 == seed_parts ? std::string::npos : text.find('=', begin);
+        if (index + 1 < seed_parts && end == std::string::npos) {
+            return fail({result_code::configuration_out_of_bounds,
+                         "'" + text + "' is not HOST=DOMAIN=SERVICE=IP:PORT.", place.file, place.line});
+        }
+        parts.at(index) = text.substr(begin, end - begin);
+        begin = end + 1;
+    }
+    BOOST_LEAF_CHECK(parse_endpoint(parts[3]));
+    return seed_peer{parts[0], parts[1], parts[2], parts[3]};
+}
+
+result<void> require_sections(item_set& items) {
+    for (auto const& entry : settings_fields()) {
+        if (entry.required) {
+            items[std::string(entry.section)][""];
+        }
+    }
+    return check_required(settings_fields(), items);
+}
+
+template<std::size_t Count>
+result<std::size_t> choose(std::array<std::string_view, Count> const& names, std::string const& text,
+                           std::string const& setting) {
+    auto const* found = std::ranges::find(names, text);
+    if (found == names.end()) {
+        return fail({result_code::configuration_out_of_bounds, "'" + setting + "' does not know '" + text + "'."});
+    }
+    return static_cast<std::size_t>(found - names.begin());
+}
+
+} // namespace
+
+std::string_view name_of(control_mode value) { return mode_names.at(static_cast<std::size_t>(value)); }
+
+result<endpoint> parse_endpoint(std::string const& text) {
+    auto const colon = text.rfind(':');
+    unsigned int port = 0;
+    if (colon != std::string::npos) {
+        auto const* end = text.data() + text.size();
+        auto const parsed = std::from_chars(text.data() + colon + 1, end, port);
+        if (parsed.ptr != end) {
+            port = 0;
+        }
+    }
+    boost::system::error_code error;
+    boost::asio::ip::make_address(text.substr(0, colon), error);
+    if (error || port == 0 || port > 65'535) {
+        return fail({result_code::configuration_out_of_bounds, "'" + text + "' is not IP:PORT."});
+    }
+    return endpoint{text.substr(0, colon), static_cast<std::uint16_t>(port)};
+}
+
+result<settings> read_settings(std::string const& path) {
+    item_set items;
+    BOOST_LEAF_CHECK(read_file(path, file_shape::plain_tables, settings_fields(), items));
+    BOOST_LEAF_CHECK(require_sections(items));
+    settings_reader const reader(items);
+    settings read;
+    read.host = reader.get_or<std::string>("node", "host", "");
+    read.failure_domain = reader.get_or<std::string>("node", "failure_domain", "");
+    read.service = reader.get_or<std::string>("node", "service", "");
+    BOOST_LEAF_ASSIGN(read.callers, reader.address("callers"));
+    BOOST_LEAF_ASSIGN(read.egress, reader.address("egress"));
+    BOOST_LEAF_ASSIGN(read.link, reader.address("link"));
+    BOOST_LEAF_ASSIGN(read.operators, reader.address("operators"));
+    BOOST_LEAF_ASSIGN(read.target, reader.address("target"));
+    read.platform_url = reader.get_or<std::string>("platform", "url", "");
+    read.fleet_secret = reader.get_or<std::string>("link", "fleet_secret", "");
+    if (auto const* seeds = reader.find("link", "peers")) {
+        for (auto const& text : std::get<std::vector<std::string>>(seeds->value)) {
+            BOOST_LEAF_AUTO(seed, parse_seed(text, *seeds));
+            read.peers.push_back(std::move(seed));
+        }
+    }
+    auto const bound = [&](std::string const& name, std::size_t fallback) {
+        return static_cast<std::size_t>(reader.get_or<double>("limits", name, static_cast<double>(fallback)));
+    };
+    read.max_body = bound("max_body", read.max_body);
+    read.max_header = bound("max_header", read.max_header);
+    read.max_connections = bound("max_connections", read.max_connections);
+    read.max_requests = bound("max_requests", read.max_requests);
+    read.idle_timeout_ms = reader.get_or<double>("limits", "idle_timeout_ms", read.idle_timeout_ms);
+    BOOST_LEAF_AUTO(mode, choose(mode_names, reader.get_or<std::string>("control", "mode", "full"), "control.mode"));
+    read.mode = static_cast<control_mode>(mode);
+    read.log_level = reader.get_or<std::string>("telemetry", "log_level", read.log_level);
+    BOOST_LEAF_CHECK(choose(log_levels, read.log_level, "telemetry.log_level"));
+    read.span_file_descriptor =
+        static_cast<int>(reader.get_or<double>("telemetry", "span_file_descriptor", read.span_file_descriptor));
+    read.span_url = reader.get_or<std::string>("telemetry", "span_url", "");
+    return read;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/config/settings.hpp
@@ -0,0 +1,61 @@
+/// The settings of one node, read once at start from a TOML file.
+#pragma once
+
+#include "config/item_set.hpp"
+
+#include <string>
+#include <vector>
+
+namespace caraway {
+
+/// An IP number and a TCP port.
+struct endpoint {
+    std::string address;
+    std::uint16_t port{0};
+
+    std::string text() const { return this->address + ":" + std::to_string(this->port); }
+};
+
+/// Reads "IP:PORT".
+result<endpoint> parse_endpoint(std::string const& text);
+
+/// What decides about overload; all but `full` are baselines for experiments.
+enum class control_mode : std::uint8_t { full, per_host, off };
+
+std::string_view name_of(control_mode value);
+
+/// A peer that is known before any host list was read.
+struct seed_peer {
+    std::string host;
+    std::string failure_domain;
+    std::string service;
+    std::string link; ///< IP:PORT.
+};
+
+struct settings {
+    std::string host;
+    std::string failure_domain;
+    std::string service;
+    endpoint callers;
+    endpoint egress;
+    endpoint link;
+    endpoint operators;
+    endpoint target;
+    std::string platform_url;
+    std::string fleet_secret;
+    std::vector<seed_peer> peers;
+    std::size_t max_body{1'048'576};
+    std::size_t max_header{16'384};
+    std::size_t max_connections{4096};
+    std::size_t max_requests{8192};
+    double idle_timeout_ms{30'000};
+    control_mode mode{control_mode::full};
+    std::string log_level{"info"};
+    int span_file_descriptor{-1}; ///< -1 when spans are not written.
+    std::string span_url;
+};
+
+/// Reads and checks a settings file; `path` is named in problems.
+result<settings> read_settings(std::string const& path);
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/http/door.hpp
@@ -0,0 +1,111 @@
+/// The HTTP/1.1 server that callers, and the own target for its calls, connect to. By Boost.Beast.
+///
+/// It runs on a thread of its own. One request of a connection is worked on at a time, so pipelined requests are
+/// answered in order. A caller's key leaves this class only as its hash.
+#pragma once
+
+#include "base/bounded_ring.hpp"
+#include "base/header_field.hpp"
+#include "base/problem.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+namespace caraway {
+
+/// Which side a request came in on.
+enum class door_side : std::uint8_t { callers, egress };
+
+/// A whole request as it was read.
+struct door_request {
+    std::uint64_t id{0}; ///< Names the request towards `answer`.
+    door_side side{door_side::callers};
+    std::string method;
+    std::string path; ///< With its query.
+    header_list headers;
+    std::string body;
+    std::string key_sha256;      ///< Empty when no key came.
+    std::string context_token;   ///< Of the request being served; empty when none came.
+    std::string idempotency_key; ///< Ticket on the callers' side, the target's own key on the egress side.
+    std::string request_id;
+    std::string traceparent;
+    double timeout_ms{0}; ///< What the caller allows; 0 when it says nothing.
+};
+
+struct door_answer {
+    std::uint64_t id{0};
+    std::uint16_t status{500};
+    header_list headers;
+    std::string body;
+};
+
+struct door_settings {
+    std::string address;
+    std::uint16_t port{0};
+    door_side side{door_side::callers};
+    std::size_t max_body{1'048'576};
+    std::size_t max_header{16'384};
+    std::size_t max_connections{4096};
+    double idle_timeout_ms{30'000};
+};
+
+/// What the door reports; called on the door's thread and must not block.
+struct door_events {
+    /// False when the request can't be taken; the door then answers node_busy.
+    std::function<bool(door_request&&)> request;
+    /// The caller of a request that is not answered yet has gone.
+    std::function<void(std::uint64_t id)> hang_up;
+};
+
+class door_session;
+
+class door {
+public:
+    door(door_settings wanted, door_events handlers);
+    ~door();
+    door(door const&) = delete;
+    door& operator=(door const&) = delete;
+
+    result<void> open();
+
+    /// Thread-safe; an answer to a request whose caller has gone is dropped.
+    void answer(door_answer&& value);
+
+    /// Takes no new connection from now on, and closes each open one after its next answer.
+    void drain();
+    /// Closes the connections that wait for no answer; the last step after `drain`.
+    void close_idle();
+
+    std::size_t connection_count() const { return this->open_connections; }
+    std::uint64_t refused_count() const { return this->refused; }
+
+private:
+    friend class door_session;
+
+    void accept();
+    void deliver_answers();
+    void forget_ended_sessions();
+
+    door_settings options;
+    door_events events;
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor;
+    bounded_ring<door_answer> answers;
+    std::unordered_map<std::uint64_t, std::shared_ptr<door_session>> waiting; ///< By request.
+    std::vector<std::weak_ptr<door_session>> sessions;
+    std::atomic<std::size_t> open_connections{0};
+    std::atomic<std::uint64_t> refused{0};
+    std::atomic<bool> draining{false};
+    std::uint64_t next_id{1};
+    std::thread worker;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/http/target_client.hpp
@@ -0,0 +1,92 @@
+/// The HTTP/1.1 client of the own target: it sends every request exactly once. By Boost.Beast.
+///
+/// It runs on a thread of its own and keeps connections for reuse. It never sends a request again by itself, and
+/// tells apart what was surely not run, what surely ran, and what may have run.
+#pragma once
+
+#include "base/bounded_ring.hpp"
+#include "base/header_field.hpp"
+#include "base/result_code.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+namespace caraway {
+
+struct target_request {
+    std::uint64_t id{0};
+    std::string method;
+    std::string path;
+    header_list headers;
+    std::string body;
+    double timeout_ms{0}; ///< The connection is cut when no answer came by then.
+};
+
+struct target_answer {
+    std::uint64_t id{0};
+    outcome result{outcome::unknown};
+    result_code code{result_code::ok};
+    std::uint16_t status{0};
+    header_list headers;
+    std::string body;
+};
+
+struct target_client_settings {
+    std::string address;
+    std::uint16_t port{0};
+    std::size_t max_body{1'048'576};
+    std::size_t max_header{16'384};
+    std::size_t max_requests{100'000}; ///< Bound of the ring towards this thread.
+};
+
+class target_call;
+class target_connection;
+
+class target_client {
+public:
+    /// `sink` is called on the client's thread with exactly one answer for each request.
+    target_client(target_client_settings wanted, std::function<void(target_answer&&)> sink);
+    ~target_client();
+    target_client(target_client const&) = delete;
+    target_client& operator=(target_client const&) = delete;
+
+    void start();
+
+    /// Thread-safe. False when the ring is full; then nothing was sent.
+    bool send(target_request&& request);
+
+    /// Thread-safe; cuts the connection of a request that is under way. Its answer still comes.
+    void cancel(std::uint64_t id);
+
+private:
+    friend class target_call;
+
+    struct command {
+        bool cancels{false};
+        target_request request;
+    };
+
+    void run_commands();
+    std::unique_ptr<target_connection> take_idle();
+    void give_back(std::unique_ptr<target_connection> connection);
+
+    target_client_settings options;
+    std::function<void(target_answer&&)> sink;
+    boost::asio::io_context context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard;
+    bounded_ring<command> commands;
+    std::unordered_map<std::uint64_t, std::weak_ptr<target_call>> calls;
+    std::vector<std::unique_ptr<target_connection>> idle;
+    std::thread worker;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/membership/rate_authority.cpp
@@ -0,0 +1,303 @@
+#include "membership/rate_authority.hpp"
+
+#include "policy/rendezvous.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace caraway {
+
+namespace {
+
+/// A lender that does not answer within this span is passed over in this round.
+constexpr duration ask_timeout{80};
+constexpr duration min_dry_span{10};
+constexpr duration max_dry_span{200};
+/// The longest span a pool's hint is trusted for.
+constexpr double max_retry_ms = 60'000;
+
+} // namespace
+
+rate_authority::rate_authority(std::string own_host, std::string own_domain, std::uint64_t own_incarnation,
+                               rights_timing limits, time_point started)
+    : host(own_host), domain(std::move(own_domain)), incarnation(own_incarnation), timing(limits),
+      membership(std::move(own_host), limits, started) {}
+
+void rate_authority::configure(std::unordered_map<std::string, rate_terms> own_terms, time_point now) {
+    this->terms = std::move(own_terms);
+    std::erase_if(this->pools, [this](auto const& entry) { return !this->terms.contains(entry.first); });
+    std::erase_if(this->borrowers, [this](auto const& entry) { return !this->terms.contains(entry.first); });
+    for (auto& [organisation, pool] : this->pools) {
+        auto const& term = this->terms.at(organisation);
+        pool.pool.set_terms(term.rate, term.burst, now);
+    }
+}
+
+void rate_authority::update_hosts(domain_hosts listed, time_point now) {
+    this->hosts = std::move(listed);
+    this->remote_lenders.clear();
+    this->membership.update_list(this->hosts[this->domain], now);
+}
+
+bool rate_authority::admit(std::string const& organisation, std::size_t waiting, time_point now) {
+    if (!this->terms.contains(organisation)) {
+        return false;
+    }
+    auto& state = this->borrowers[organisation];
+    state.wallet.note_demand(now);
+    // Those who wait were here first.
+    bool admitted = waiting == 0 && state.wallet.spend(now);
+    if (admitted) {
+        this->borrow(organisation, state, 0, now);
+        return true;
+    }
+    this->borrow(organisation, state, waiting + 1, now);
+    // An own pool answers at once, so the token may be here by now.
+    admitted = waiting == 0 && state.wallet.spend(now);
+    return admitted;
+}
+
+bool rate_authority::admit_waiting(std::string const& organisation, time_point now) {
+    auto const found = this->borrowers.find(organisation);
+    return found != this->borrowers.end() && found->second.wallet.spend(now);
+}
+
+bool rate_authority::is_dry(std::string const& organisation, time_point now) const {
+    auto const found = this->borrowers.find(organisation);
+    return found == this->borrowers.end() || now < found->second.dry_until;
+}
+
+duration rate_authority::dry_span(std::string const& organisation, time_point now) const {
+    auto const found = this->borrowers.find(organisation);
+    if (found == this->borrowers.end()) {
+        return max_dry_span;
+    }
+    return std::max(duration{0}, found->second.dry_until - now);
+}
+
+void rate_authority::borrow(std::string const& organisation, borrower& state, std::size_t waiting, time_point now) {
+    auto const wanted = state.wallet.shortage(now, waiting);
+    if (wanted <= 0 || state.sequence != 0 || now < state.dry_until) {
+        return;
+    }
+    state.untried = this->lenders(organisation);
+    state.supplied = false;
+    state.shortest_wait = max_dry_span;
+    this->waiting_hint = waiting;
+    this->ask_next(organisation, state, wanted, now);
+}
+
+void rate_authority::ask_next(std::string const& organisation, borrower& state, token_amount wanted, time_point now) {
+    if (state.untried.empty()) {
+        return this->end_round(state, now);
+    }
+    state.lender = state.untried.back();
+    state.untried.pop_back();
+    state.sequence = this->next_sequence++;
+    state.asked = now;
+    want_tokens_message want{.organisation = organisation, .amount = wanted, .sequence = state.sequence};
+    std::vector<wallet_report> others;
+    for (auto const& entry : state.wallet.take_reports(now)) {
+        if (entry.lender == state.lender) {
+            want.uses.push_back(entry.use);
+        } else {
+            others.push_back(entry);
+        }
+    }
+    for (auto const& entry : others) {
+        this->send(entry.lender, want_tokens_message{.organisation = organisation, .uses = {entry.use}}, now);
+    }
+    this->send(state.lender, std::move(want), now);
+}
+
+void rate_authority::end_round(borrower& state, time_point now) {
+    state.sequence = 0;
+    if (!state.supplied) {
+        state.dry_until = now + std::clamp(state.shortest_wait, min_dry_span, max_dry_span);
+    }
+}
+
+std::vector<std::string> rate_authority::lenders(std::string const& organisation) {
+    auto const [entry, inserted] = this->remote_lenders.try_emplace(organisation);
+    if (inserted) {
+        entry->second = this->find_remote_lenders(organisation);
+    }
+    auto order = entry->second;
+    order.push_back(this->membership.owner(organisation));
+    return order;
+}
+
+std::vector<std::string> rate_authority::find_remote_lenders(std::string const& organisation) const {
+    std::vector<std::string> order;
+    for (auto const& [name, listed] : this->hosts) {
+        if (name == this->domain) {
+            continue;
+        }
+        std::vector<std::string> const candidates(listed.begin(), listed.end());
+        auto const top = rendezvous_top(candidates, organisation, 1);
+        order.insert(order.end(), top.begin(), top.end());
+    }
+    // A different order at every node spreads the borrowing over the domains.
+    std::ranges::sort(order, [this](std::string const& left, std::string const& right) {
+        return rendezvous_prefers(left, right, this->host);
+    });
+    return order;
+}
+
+void rate_authority::report(std::string const& organisation, borrower& state, time_point now) {
+    std::map<std::string, want_tokens_message> reports;
+    for (auto const& entry : state.wallet.take_reports(now)) {
+        auto& message = reports[entry.lender];
+        message.organisation = organisation;
+        message.uses.push_back(entry.use);
+    }
+    for (auto& [lender, message] : reports) {
+        this->send(lender, std::move(message), now);
+    }
+}
+
+void rate_authority::send(std::string const& to, rights_message content, time_point now) {
+    if (to == this->host) {
+        return this->receive(to, content, now);
+    }
+    this->letters.push_back({to, std::move(content)});
+}
+
+void rate_authority::receive(std::string const& from, rights_message const& content, time_point now) {
+    if (auto const* want = std::get_if<want_tokens_message>(&content)) {
+        return this->serve_want(from, *want, now);
+    }
+    if (auto const* grant = std::get_if<grant_message>(&content)) {
+        return this->take_grant(from, *grant, now);
+    }
+    if (auto const* ask = std::get_if<count_me_message>(&content)) {
+        return this->serve_count(from, *ask, now);
+    }
+    auto const& answer = std::get<counted_message>(content);
+    this->membership.confirm(from, answer.sequence, answer.was_counted, answer.members, now);
+}
+
+void rate_authority::serve_want(std::string const& from, want_tokens_message const& want, time_point now) {
+    auto* pool = this->own_pool(want.organisation, now);
+    if (pool != nullptr) {
+        for (auto const& use : want.uses) {
+            pool->settle(use, now);
+        }
+    }
+    if (want.amount <= 0) {
+        return;
+    }
+    grant_message grant{.organisation = want.organisation,
+                        .valid_ms = this->timing.loan_span.milliseconds,
+                        .retry_ms = max_dry_span.milliseconds,
+                        .sequence = want.sequence};
+    if (pool != nullptr) {
+        grant.loan = this->next_loan++;
+        auto const expires = now + this->timing.loan_span + this->timing.margin;
+        grant.amount = pool->lend(grant.loan, want.amount, now, expires);
+        grant.retry_ms = std::min(pool->wait_for(one_token, now).milliseconds, max_retry_ms);
+    }
+    this->send(from, grant, now);
+}
+
+rate_pool* rate_authority::own_pool(std::string const& organisation, time_point now) {
+    auto const term = this->terms.find(organisation);
+    if (term == this->terms.end() || !this->membership.owns(organisation, now)) {
+        return nullptr;
+    }
+    auto const usable_from = this->membership.usable_from(organisation);
+    auto const found = this->pools.find(organisation);
+    if (found != this->pools.end() && found->second.usable_from == usable_from) {
+        return &found->second.pool;
+    }
+    // A new term of ownership: what a former one held is void, and the pool counts as minting since this one began,
+    // not since the first request.
+    owned_pool fresh{usable_from, rate_pool(usable_from)};
+    fresh.pool.set_terms(term->second.rate, term->second.burst, usable_from);
+    return &this->pools.insert_or_assign(organisation, std::move(fresh)).first->second.pool;
+}
+
+void rate_authority::take_grant(std::string const& from, grant_message const& grant, time_point now) {
+    auto const found = this->borrowers.find(grant.organisation);
+    if (found == this->borrowers.end()) {
+        return;
+    }
+    auto& state = found->second;
+    if (state.sequence == 0 || state.sequence != grant.sequence || state.lender != from) {
+        return;
+    }
+    auto const expires = state.asked + duration{std::min(grant.valid_ms, this->timing.loan_span.milliseconds)};
+    if (grant.amount > 0 && now < expires) {
+        state.wallet.add(from, grant.loan, grant.amount, expires);
+        state.supplied = true;
+        this->supplied.push_back(grant.organisation);
+    }
+    state.shortest_wait = std::min(state.shortest_wait, duration{std::max(0.0, grant.retry_ms)});
+    this->continue_round(grant.organisation, state, now);
+}
+
+void rate_authority::continue_round(std::string const& organisation, borrower& state, time_point now) {
+    auto const wanted = state.wallet.shortage(now, this->waiting_hint);
+    if (wanted <= 0) {
+        state.sequence = 0;
+        return;
+    }
+    this->ask_next(organisation, state, wanted, now);
+}
+
+void rate_authority::serve_count(std::string const& from, count_me_message const& ask, time_point now) {
+    if (ask.gives_up) {
+        return this->membership.release(from, now);
+    }
+    auto const theirs = ask.members_digest;
+    counted_message answer{.sequence = ask.sequence, .was_counted = this->membership.count(from, ask.incarnation, now)};
+    if (theirs != this->membership.digest()) {
+        answer.members = this->membership.members();
+    }
+    this->send(from, std::move(answer), now);
+}
+
+void rate_authority::tick(time_point now, std::unordered_map<std::string, std::size_t> const& waiting) {
+    auto const digest = this->membership.digest();
+    for (auto const& request : this->membership.due_requests(now)) {
+        this->send(request.host,
+                   count_me_message{.sequence = request.sequence,
+                                    .incarnation = this->incarnation,
+                                    .members_digest = digest},
+                   now);
+    }
+    for (auto& [organisation, state] : this->borrowers) {
+        if (state.sequence != 0 && now - state.asked > ask_timeout) {
+            auto const found = waiting.find(organisation);
+            this->waiting_hint = found == waiting.end() ? 0 : found->second;
+            this->continue_round(organisation, state, now);
+        }
+        auto const found = waiting.find(organisation);
+        this->borrow(organisation, state, found == waiting.end() ? 0 : found->second, now);
+        this->report(organisation, state, now);
+    }
+    std::erase_if(this->borrowers, [now](auto const& entry) {
+        return entry.second.sequence == 0 && entry.second.wallet.is_forgettable(now);
+    });
+}
+
+std::vector<rights_letter> rate_authority::take_letters() { return std::exchange(this->letters, {}); }
+
+std::vector<std::string> rate_authority::take_supplied() { return std::exchange(this->supplied, {}); }
+
+void rate_authority::leave(time_point now) {
+    for (auto const& name : this->membership.leave()) {
+        this->send(name, count_me_message{.incarnation = this->incarnation, .gives_up = true}, now);
+    }
+    this->pools.clear();
+}
+
+token_amount rate_authority::outstanding() const {
+    token_amount total = 0;
+    for (auto const& [organisation, pool] : this->pools) {
+        total += pool.pool.outstanding();
+    }
+    return total;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/membership/rate_authority.hpp
@@ -0,0 +1,114 @@
+/// Rate and burst of every organisation over the whole fleet, as one node sees and serves them.
+///
+/// It joins the three parts: who owns which pool (counted_members), the pools this node owns (rate_pool) and what it
+/// has borrowed (rate_wallet). It holds no socket and no clock.
+#pragma once
+
+#include "membership/counted_members.hpp"
+#include "membership/rights_message.hpp"
+#include "policy/rate_pool.hpp"
+#include "policy/rate_wallet.hpp"
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace caraway {
+
+/// The own failure domain's part of an organisation's terms.
+struct rate_terms {
+    double rate{0};  ///< Requests per second.
+    double burst{0}; ///< Requests.
+};
+
+/// Hosts by failure domain, as the newest list has them.
+using domain_hosts = std::map<std::string, std::set<std::string>>;
+
+class rate_authority {
+public:
+    rate_authority(std::string own_host, std::string own_domain, std::uint64_t own_incarnation, rights_timing limits,
+                   time_point started);
+
+    /// Replaces all terms. A domain weight that shrinks shrinks pools at once.
+    void configure(std::unordered_map<std::string, rate_terms> own_terms, time_point now);
+    void update_hosts(domain_hosts listed, time_point now);
+
+    /// Spends one token of the organisation, or starts to borrow; `waiting` requests are parked for it already.
+    bool admit(std::string const& organisation, std::size_t waiting, time_point now);
+
+    /// Spends one token for a request that is parked.
+    bool admit_waiting(std::string const& organisation, time_point now);
+
+    /// Whether every pool was found empty, so that waiting is of no use before `dry_span`.
+    bool is_dry(std::string const& organisation, time_point now) const;
+    duration dry_span(std::string const& organisation, time_point now) const;
+
+    /// Takes a message of another node.
+    void receive(std::string const& from, rights_message const& content, time_point now);
+
+    /// Periodic work: confirmations, reports, borrowing. `waiting` gives the parked requests of an organisation.
+    void tick(time_point now, std::unordered_map<std::string, std::size_t> const& waiting);
+
+    /// What is to be sent now.
+    std::vector<rights_letter> take_letters();
+
+    /// Organisations whose wallet grew since the last call.
+    std::vector<std::string> take_supplied();
+
+    /// Gives up all rights for good and tells those who count this node.
+    void leave(time_point now);
+
+    counted_members const& members() const { return this->membership; }
+    std::size_t pool_count() const { return this->pools.size(); }
+    /// Tokens lent to others and not settled, over all pools.
+    token_amount outstanding() const;
+
+private:
+    struct owned_pool {
+        time_point usable_from; ///< Tells one term of ownership from another.
+        rate_pool pool;
+    };
+    struct borrower {
+        rate_wallet wallet;
+        std::uint64_t sequence{0}; ///< Of the ask under way; 0 when none is.
+        std::string lender;
+        time_point asked;
+        std::vector<std::string> untried; ///< Lenders left in this round, next one last.
+        bool supplied{false};             ///< Something came in this round.
+        time_point dry_until;
+        duration shortest_wait{0};
+    };
+
+    void borrow(std::string const& organisation, borrower& state, std::size_t waiting, time_point now);
+    void ask_next(std::string const& organisation, borrower& state, token_amount wanted, time_point now);
+    void end_round(borrower& state, time_point now);
+    void continue_round(std::string const& organisation, borrower& state, time_point now);
+    std::vector<std::string> lenders(std::string const& organisation);
+    std::vector<std::string> find_remote_lenders(std::string const& organisation) const;
+    void report(std::string const& organisation, borrower& state, time_point now);
+    void send(std::string const& to, rights_message content, time_point now);
+
+    void serve_want(std::string const& from, want_tokens_message const& want, time_point now);
+    void take_grant(std::string const& from, grant_message const& grant, time_point now);
+    void serve_count(std::string const& from, count_me_message const& ask, time_point now);
+    rate_pool* own_pool(std::string const& organisation, time_point now);
+
+    std::string host;
+    std::string domain;
+    std::uint64_t incarnation;
+    rights_timing timing;
+    counted_members membership;
+    domain_hosts hosts;
+    std::unordered_map<std::string, rate_terms> terms;
+    std::unordered_map<std::string, owned_pool> pools;
+    std::unordered_map<std::string, std::vector<std::string>> remote_lenders; ///< Cleared with every host list.
+    std::unordered_map<std::string, borrower> borrowers;
+    std::vector<rights_letter> letters;
+    std::vector<std::string> supplied;
+    std::uint64_t next_sequence{1};
+    loan_id next_loan{1};
+    std::size_t waiting_hint{0};
+};
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/node/effects.hpp
@@ -0,0 +1,52 @@
+/// What the deciding duty wants done: it decides only, and the runtime carries this out on the other threads.
+#pragma once
+
+#include "config/bundle.hpp"
+#include "http/door.hpp"
+#include "http/target_client.hpp"
+#include "link/link_event.hpp"
+#include "link/message.hpp"
+#include "telemetry/log.hpp"
+#include "telemetry/span.hpp"
+
+#include <string>
+#include <vector>
+
+namespace caraway {
+
+struct outgoing_message {
+    connection_id connection{0};
+    message content;
+};
+
+/// The core numbers the connections that it dials; accepted ones come numbered by the links.
+struct dial_request {
+    connection_id connection{0};
+    std::string address;
+};
+
+/// A whole document that is to be checked off the deciding thread.
+struct compile_request {
+    document_kind document{document_kind::configuration};
+    std::uint64_t revision{0};
+    bundle content;
+};
+
+struct effects {
+    std::vector<outgoing_message> messages;
+    std::vector<dial_request> dials;
+    std::vector<connection_id> closes;
+    std::vector<door_answer> caller_answers;
+    std::vector<door_answer> egress_answers;
+    std::vector<target_request> target_requests;
+    std::vector<std::uint64_t> target_cancels;
+    std::vector<compile_request> compiles;
+    std::vector<span> spans;
+    std::vector<log_entry> logs;
+
+    void log(log_level level, std::string event, header_list fields = {}) {
+        this->logs.push_back({level, std::move(event), std::move(fields)});
+    }
+};
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/node/executor.hpp
@@ -0,0 +1,123 @@
+/// The executing side: admission to the own target, at most once, and the answers that go back.
+#pragma once
+
+#include "node/node_context.hpp"
+#include "policy/admission_controller.hpp"
+#include "policy/concurrency_limiter.hpp"
+#include "policy/ticket_store.hpp"
+#include "policy/work_queue.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace caraway {
+
+/// What is kept of an answer for a resend of its ticket.
+struct kept_answer {
+    answer_message content;
+    std::size_t size() const { return this->content.body.size() + 256; }
+};
+
+/// A request at the executing host.
+struct execution {
+    enum class state : std::uint8_t { queued, running };
+    struct reply_address {
+        std::string host;
+        connection_id connection{0};
+        std::uint64_t call_id{0};
+    };
+
+    std::uint64_t id{0};
+    state stage{state::queued};
+    forward_message request;
+    std::vector<reply_address> waiters;
+    std::string token; ///< What the target shows on its own calls.
+    std::optional<ticket> right;
+    time_point arrived;
+    time_point deadline;
+    time_point started;
+    std::uint64_t started_wall{0};
+    retry_allowance allowance;
+    std::map<std::string, admitted_parts> admissions; ///< Of services below.
+    std::set<std::uint64_t> children;                 ///< The originator's calls on behalf of this request.
+    std::map<std::string, std::string> call_tickets;  ///< The target's own keys to tickets.
+    int nested_active{0};
+    time_point nested_since;
+    duration nested_total{0};
+    std::uint64_t fingerprint{0};
+    bool suspect{false};
+    std::string span_id;
+
+    bool is_idempotent() const { return this->request.ticket.empty(); }
+};
+
+class executor {
+public:
+    executor(node_context& shared, time_point started);
+
+    void receive(std::string const& from, connection_id connection, forward_message&& request, time_point now);
+    void cancel(std::string const& from, std::uint64_t call_id, time_point now);
+    void on_target(target_answer&& answer, time_point now);
+    void tick(time_point now);
+
+    /// The live request that shows this token; null when there is none.
+    execution* find_by_token(std::string const& token);
+    execution* find(std::uint64_t id);
+
+    void note_child_started(execution& parent, std::uint64_t call, time_point now);
+    void note_child_ended(execution& parent, std::uint64_t call, time_point now);
+
+    /// Calls made on behalf of requests that no longer matter, since the last call.
+    std::vector<std::uint64_t> take_orphans();
+
+    /// Refuses what waits; called once when the node begins to leave.
+    void drain(time_point now);
+
+    void on_configuration();
+
+    std::uint64_t ticket_window(time_point now) { return this->tickets.window(now); }
+    std::size_t in_flight() const { return this->running; }
+    std::size_t queued() const { return this->queue.size(); }
+    std::size_t live() const { return this->executions.size(); }
+    std::size_t remembered_tickets() const { return this->tickets.size(); }
+    int limit() const;
+    admission_controller const& admission() const { return this->controller; }
+
+private:
+    bool claim_ticket(execution& work, time_point now);
+    void admit(execution&& work, time_point now);
+    void start(execution& work, time_point now);
+    void start_more(time_point now);
+    void refuse(std::uint64_t id, result_code code, time_point now);
+    void refuse_unqueued(execution& work, result_code code, outcome result, time_point now);
+    void finish(execution& work, answer_message answer, time_point now);
+    void send_answer(execution const& work, answer_message answer, time_point now);
+    void note_death(std::uint64_t dead, time_point now);
+    void orphan_children(execution& work);
+    std::vector<admission_report> reports(execution const& work) const;
+    double weight_of(std::string const& organisation) const;
+    void admit_next_suspect(time_point now);
+
+    node_context& context;
+    concurrency_limiter limiter;
+    admission_controller controller;
+    work_queue queue;
+    ticket_store<kept_answer> tickets;
+    std::unordered_map<std::uint64_t, execution> executions;
+    std::unordered_map<std::string, std::uint64_t> by_token;
+    std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> by_call;
+    std::vector<std::uint64_t> orphans;
+    std::uint64_t next_id{1};
+    std::size_t running{0};
+    std::uint64_t running_suspect{0};            ///< 0 when none runs.
+    std::deque<std::uint64_t> waiting_suspects; ///< One suspect runs at a time.
+    time_point suspect_died;
+    int slots{1};
+};
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/node/host_list.cpp
@@ -0,0 +1,105 @@
+#include "node/host_list.hpp"
+
+#include "base/digest.hpp"
+#include "config/settings.hpp"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <algorithm>
+
+namespace caraway {
+
+namespace {
+
+constexpr std::size_t bucket_count = 64;
+constexpr std::size_t max_name = 200;
+
+QString text(std::string const& value) { return QString::fromStdString(value); }
+
+QJsonObject to_json(listed_host const& entry) {
+    return {{"host", text(entry.host)},
+            {"failure_domain", text(entry.failure_domain)},
+            {"service", text(entry.service)},
+            {"link", text(entry.link)},
+            {"state", entry.leaving ? "leaving" : "live"}};
+}
+
+result<listed_host> host_from_json(QJsonObject const& object) {
+    listed_host entry{.host = object.value("host").toString().toStdString(),
+                      .failure_domain = object.value("failure_domain").toString().toStdString(),
+                      .service = object.value("service").toString().toStdString(),
+                      .link = object.value("link").toString().toStdString(),
+                      .leaving = object.value("state").toString() == "leaving"};
+    BOOST_LEAF_CHECK(parse_endpoint(entry.link));
+    bool const named = !entry.host.empty() && entry.host.size() <= max_name && !entry.failure_domain.empty() &&
+                       !entry.service.empty();
+    if (!named) {
+        return fail({result_code::configuration_missing, "A listed host lacks its name, failure domain or service."});
+    }
+    return entry;
+}
+
+result<void> read_hosts(QJsonArray const& rows, std::vector<listed_host>& hosts) {
+    for (auto const& row : rows) {
+        BOOST_LEAF_AUTO(entry, host_from_json(row.toObject()));
+        hosts.push_back(std::move(entry));
+    }
+    return {};
+}
+
+std::string compact(QJsonObject const& object) {
+    return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
+}
+
+} // namespace
+
+result<host_list> parse_host_list(std::string const& json) {
+    auto const object = QJsonDocument::fromJson(QByteArray::fromStdString(json)).object();
+    bool valid = false;
+    host_list list{.revision = object.value("revision").toString().toULongLong(&valid)};
+    if (!valid) {
+        return fail({result_code::configuration_wrong_type, "The host list has no revision."});
+    }
+    BOOST_LEAF_CHECK(read_hosts(object.value("hosts").toArray(), list.hosts));
+    return list;
+}
+
+bundle cut_host_list(host_list const& list) {
+    auto sorted = list.hosts;
+    std::ranges::sort(sorted, {}, &listed_host::host);
+    std::vector<QJsonArray> buckets(bucket_count);
+    for (auto const& entry : sorted) {
+        buckets[fast_hash(entry.host) % bucket_count].append(to_json(entry));
+    }
+    bundle made;
+    QJsonObject digests;
+    for (std::size_t index = 0; index < bucket_count; ++index) {
+        if (buckets[index].isEmpty()) {
+            continue;
+        }
+        auto const name = "hosts." + std::to_string(index);
+        auto const value = compact({{"hosts", buckets[index]}});
+        digests.insert(text(name), text(value_digest(value)));
+        made.values[name] = value;
+    }
+    made.manifest_text = compact({{"revision", QString::number(list.revision)}, {"values", digests}});
+    return made;
+}
+
+result<host_list> compile_host_list(bundle const& published) {
+    BOOST_LEAF_AUTO(parsed, parse_manifest(published.manifest_text));
+    host_list list{.revision = parsed.revision};
+    for (auto const& [name, digest] : parsed.digests) {
+        auto const value = published.values.find(name);
+        if (value == published.values.end() || value_digest(value->second) != digest) {
+            return fail({result_code::configuration_digest, "The value '" + name + "' is missing or damaged."});
+        }
+        auto const object = QJsonDocument::fromJson(QByteArray::fromStdString(value->second)).object();
+        BOOST_LEAF_CHECK(read_hosts(object.value("hosts").toArray(), list.hosts));
+    }
+    return list;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/node/host_list.hpp
@@ -0,0 +1,36 @@
+/// The published list of hosts, and its cut into values for spreading.
+#pragma once
+
+#include "config/bundle.hpp"
+
+#include <string>
+#include <vector>
+
+namespace caraway {
+
+struct listed_host {
+    std::string host;
+    std::string failure_domain;
+    std::string service;
+    std::string link; ///< IP:PORT.
+    bool leaving{false};
+
+    bool operator==(listed_host const&) const = default;
+};
+
+struct host_list {
+    std::uint64_t revision{0};
+    std::vector<listed_host> hosts;
+};
+
+/// Reads the platform's JSON: {"revision":"N","hosts":[{"host":..,"failure_domain":..,"service":..,"link":..,
+/// "state":"live"|"leaving"}]}.
+result<host_list> parse_host_list(std::string const& text);
+
+/// The same text for the same hosts everywhere, cut by a hash of the host's name.
+bundle cut_host_list(host_list const& list);
+
+/// The inverse; fails when a value is missing or damaged.
+result<host_list> compile_host_list(bundle const& published);
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/node/lifecycle.hpp
@@ -0,0 +1,32 @@
+/// The state chart of a node's life, interpreted from lifecycle.scxml.
+#pragma once
+
+#include "base/problem.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+class QScxmlStateMachine;
+
+namespace caraway {
+
+class lifecycle {
+public:
+    /// `entered` is called with the name of each state that is entered.
+    static result<std::unique_ptr<lifecycle>> create(std::function<void(std::string const&)> entered);
+    ~lifecycle();
+    lifecycle(lifecycle const&) = delete;
+    lifecycle& operator=(lifecycle const&) = delete;
+
+    void start();
+    /// An event that the present state does not know is ignored.
+    void raise(std::string const& event);
+
+private:
+    lifecycle();
+
+    std::unique_ptr<QScxmlStateMachine> machine;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/node/node_context.hpp
@@ -0,0 +1,64 @@
+/// What the parts of the deciding duty share.
+#pragma once
+
+#include "config/settings.hpp"
+#include "membership/rate_authority.hpp"
+#include "node/effects.hpp"
+#include "node/peer_table.hpp"
+#include "policy/admission_view.hpp"
+#include "policy/quarantine.hpp"
+#include "policy/retry_allowance.hpp"
+#include "policy/target_chooser.hpp"
+#include "telemetry/metrics.hpp"
+
+#include <deque>
+#include <functional>
+
+namespace caraway {
+
+/// Where the node is in its life; named after the states of lifecycle.scxml.
+enum class node_phase : std::uint8_t { starting, serving, draining, stopped };
+
+/// A message for a host, which may be this one.
+struct addressed_message {
+    std::string from;
+    connection_id connection{0}; ///< 0 for a message of this node to itself.
+    message content;
+};
+
+struct node_context {
+    node_context(settings wanted, std::uint64_t own_incarnation, rights_timing limits, time_point started)
+        : options(std::move(wanted)), incarnation(own_incarnation),
+          peers(options.host, options.failure_domain, out),
+          rights(options.host, options.failure_domain, own_incarnation, limits, started) {}
+
+    /// Sends to a host; a message to this host itself is handled in the same round. False when there is no link.
+    bool deliver(std::string const& host, message content, time_point now, connection_id preferred = 0,
+                 connection_id* used = nullptr) {
+        if (host == this->options.host) {
+            this->local.push_back({host, 0, std::move(content)});
+            return true;
+        }
+        return this->peers.send(host, std::move(content), now, preferred, used);
+    }
+
+    bool is_controlled() const { return this->options.mode == control_mode::full; }
+
+    settings options;
+    std::uint64_t incarnation;
+    node_phase phase{node_phase::starting};
+    configuration_pointer configuration;
+    effects out;
+    std::deque<addressed_message> local;
+    peer_table peers;
+    rate_authority rights;
+    admission_view admissions;
+    target_chooser chooser;
+    retry_budget budget;
+    quarantine suspects;
+    metrics numbers;
+    /// What this node reports of itself.
+    std::function<host_report()> report;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/node/node_runtime.cpp
@@ -0,0 +1,243 @@
+#include "node/node_runtime.hpp"
+
+#include "base/digest.hpp"
+
+#include <QCoreApplication>
+#include <QMetaObject>
+#include <QNetworkReply>
+#include <QNetworkRequest>
+
+namespace caraway {
+
+namespace {
+
+constexpr int watch_interval_ms = 50;
+/// A leaving node stays this long at least, so that every other node has heard of it.
+constexpr duration least_drain{1500};
+/// Nothing was live for this long: no request is on its way either.
+constexpr duration idle_span{300};
+/// What is still live by then will not end.
+constexpr duration longest_drain{60'000};
+constexpr int close_pause_ms = 200;
+constexpr std::size_t max_compiles = 64;
+/// Room in a link message beside the body: header fields and the message's own.
+constexpr std::size_t message_overhead = 131'072;
+constexpr std::size_t least_message = 1'500'000;
+
+} // namespace
+
+node_runtime::node_runtime(settings wanted)
+    : options(std::move(wanted)), incarnation(random_number()),
+      telemetry({.service = "carawayd",
+                 .host = options.host,
+                 .file_descriptor = options.span_file_descriptor,
+                 .post = options.span_url.empty()
+                             ? std::function<void(std::string)>{}
+                             : [this](std::string text) { this->post_spans(std::move(text)); }}),
+      compiles(max_compiles), core(options, incarnation, [this](effects&& all) { this->carry_out(std::move(all)); }),
+      links({options.host, incarnation}, options.fleet_secret,
+            std::max(least_message, options.max_body + message_overhead),
+            [this](link_event&& event) { return this->core.push(std::move(event)); }),
+      target({.address = options.target.address,
+              .port = options.target.port,
+              .max_body = options.max_body,
+              .max_header = options.max_header},
+             [this](target_answer&& answer) { [[maybe_unused]] bool const taken = this->core.push(std::move(answer)); }) {
+    this->compiles.set_wake([this] {
+        QMetaObject::invokeMethod(&this->control, [this] { this->compile_waiting(); }, Qt::QueuedConnection);
+    });
+}
+
+node_runtime::~node_runtime() {
+    this->platform.reset();
+    this->callers.reset();
+    this->egress.reset();
+    this->core.stop();
+}
+
+door_events node_runtime::make_door_events(door_side side) {
+    return {.request = [this](door_request&& request) { return this->core.push(std::move(request)); },
+            .hang_up =
+                [this, side](std::uint64_t id) {
+                    // A lost hang-up costs work only; the request ends at its deadline.
+                    [[maybe_unused]] bool const taken = this->core.push(hang_up_event{side, id});
+                }};
+}
+
+std::unique_ptr<door> node_runtime::make_door(endpoint const& address, door_side side) {
+    return std::make_unique<door>(door_settings{.address = address.address,
+                                                .port = address.port,
+                                                .side = side,
+                                                .max_body = this->options.max_body,
+                                                .max_header = this->options.max_header,
+                                                .max_connections = this->options.max_connections,
+                                                .idle_timeout_ms = this->options.idle_timeout_ms},
+                                  this->make_door_events(side));
+}
+
+result<void> node_runtime::start() {
+    BOOST_LEAF_ASSIGN(this->chart, lifecycle::create([this](std::string const& name) { this->on_state(name); }));
+    this->callers = this->make_door(this->options.callers, door_side::callers);
+    this->egress = this->make_door(this->options.egress, door_side::egress);
+    this->page = std::make_unique<operator_page>([this] { return this->core.status(); });
+    BOOST_LEAF_CHECK(this->page->open(this->options.operators));
+    BOOST_LEAF_CHECK(this->links.listen(this->options.link.text()));
+    this->target.start();
+    this->core.start();
+    BOOST_LEAF_CHECK(this->callers->open());
+    BOOST_LEAF_CHECK(this->egress->open());
+    this->platform = std::make_unique<platform_reader>(
+        this->options.platform_url,
+        platform_events{
+            .configuration =
+                [this](bundle&& content) {
+                    this->core.push(platform_event{document_kind::configuration, std::move(content)});
+                },
+            .hosts =
+                [this](std::string&& text) {
+                    attempt_or(
+                        [&]() -> result<bool> {
+                            BOOST_LEAF_AUTO(list, parse_host_list(text));
+                            return this->core.push(platform_event{document_kind::hosts, cut_host_list(list)});
+                        },
+                        [&](problem const& cause) {
+                            this->telemetry.take(log_entry{
+                                log_level::error, "host_list_refused", {{"reason", to_text(cause)}}});
+                            return false;
+                        });
+                },
+            .failure =
+                [this](std::string const& reason) {
+                    this->telemetry.take(log_entry{log_level::warn, "platform_unreachable", {{"reason", reason}}});
+                }});
+    this->platform->set_active(true);
+    QObject::connect(&this->watch_timer, &QTimer::timeout, &this->control, [this] { this->watch_core(); });
+    this->watch_timer.start(watch_interval_ms);
+    this->chart->start();
+    this->telemetry.take(log_entry{log_level::info,
+                                   "started",
+                                   {{"host", this->options.host},
+                                    {"failure_domain", this->options.failure_domain},
+                                    {"service", this->options.service}}});
+    return {};
+}
+
+void node_runtime::carry_out(effects&& wanted) {
+    for (auto const& dial : wanted.dials) {
+        this->links.dial(dial.connection, dial.address);
+    }
+    for (auto const& outgoing : wanted.messages) {
+        if (!this->links.send(outgoing.connection, outgoing.content)) {
+            // What can't be sent must not seem sent: the connection ends, and all that is on it is told so.
+            this->links.close(outgoing.connection);
+        }
+    }
+    for (auto const connection : wanted.closes) {
+        this->links.close(connection);
+    }
+    for (auto& answer : wanted.caller_answers) {
+        this->callers->answer(std::move(answer));
+    }
+    for (auto& answer : wanted.egress_answers) {
+        this->egress->answer(std::move(answer));
+    }
+    for (auto& request : wanted.target_requests) {
+        auto const id = request.id;
+        if (!this->target.send(std::move(request))) {
+            this->core.push(
+                target_answer{.id = id, .result = outcome::not_run, .code = result_code::node_busy});
+        }
+    }
+    for (auto const id : wanted.target_cancels) {
+        this->target.cancel(id);
+    }
+    for (auto& request : wanted.compiles) {
+        [[maybe_unused]] bool const taken = this->compiles.try_push(std::move(request));
+    }
+    for (auto& value : wanted.spans) {
+        this->telemetry.take(std::move(value));
+    }
+    for (auto& entry : wanted.logs) {
+        this->telemetry.take(std::move(entry));
+    }
+    this->links.reap();
+}
+
+void node_runtime::compile_waiting() {
+    this->compiles.drain([this](compile_request&& request) { this->compile(std::move(request)); });
+}
+
+void node_runtime::compile(compile_request&& request) {
+    compiled_event event{.document = request.document, .revision = request.revision};
+    attempt_or(
+        [&]() -> result<bool> {
+            if (request.document == document_kind::configuration) {
+                BOOST_LEAF_ASSIGN(event.configuration, compile_bundle(request.content));
+            } else {
+                BOOST_LEAF_AUTO(list, compile_host_list(request.content));
+                event.hosts = std::make_shared<host_list const>(std::move(list));
+            }
+            return true;
+        },
+        [&](problem const& cause) {
+            event.refusal = to_text(cause);
+            return false;
+        });
+    this->core.push(std::move(event));
+}
+
+void node_runtime::post_spans(std::string text) {
+    QMetaObject::invokeMethod(
+        &this->control,
+        [this, text = std::move(text)] {
+            QNetworkRequest request(QUrl(QString::fromStdString(this->options.span_url)));
+            request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+            auto* reply = this->span_network.post(request, QByteArray::fromStdString(text));
+            QObject::connect(reply, &QNetworkReply::finished, reply, &QObject::deleteLater);
+        },
+        Qt::QueuedConnection);
+}
+
+void node_runtime::terminate() { this->chart->raise("terminate"); }
+
+void node_runtime::on_state(std::string const& name) {
+    this->telemetry.take(log_entry{log_level::info, "phase", {{"name", name}}});
+    if (name == "serving") {
+        this->core.push(phase_event{node_phase::serving});
+    } else if (name == "draining") {
+        this->draining_since = monotonic_clock::now();
+        this->idle_since = this->draining_since;
+        this->core.push(phase_event{node_phase::draining});
+        this->callers->drain();
+    } else if (name == "closing") {
+        this->callers->close_idle();
+        this->egress->close_idle();
+        QTimer::singleShot(close_pause_ms, &this->control, [this] { this->chart->raise("closed"); });
+    } else if (name == "stopped") {
+        this->core.push(phase_event{node_phase::stopped});
+        QCoreApplication::quit();
+    }
+}
+
+void node_runtime::watch_core() {
+    auto const status = this->core.status();
+    auto const now = monotonic_clock::now();
+    if (status->phase == node_phase::starting && status->documents_ready) {
+        this->chart->raise("configuration.ready");
+    }
+    this->platform->set_active(status->reads_platform || !status->documents_ready);
+    if (this->draining_since.milliseconds == 0) {
+        return;
+    }
+    if (!this->core.is_idle()) {
+        this->idle_since = now;
+    }
+    bool const drained = now - this->draining_since >= least_drain && now - this->idle_since >= idle_span;
+    if (drained) {
+        this->chart->raise("drained");
+    } else if (now - this->draining_since >= longest_drain) {
+        this->chart->raise("drain.timeout");
+    }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/node/operator_page.cpp
@@ -0,0 +1,42 @@
+#include "node/operator_page.hpp"
+
+#include <QHostAddress>
+#include <QHttpServer>
+#include <QHttpServerResponse>
+
+namespace caraway {
+
+namespace {
+
+using status_code = QHttpServerResponse::StatusCode;
+
+QHttpServerResponse plain(std::string const& text, status_code code = status_code::Ok) {
+    return {"text/plain", QByteArray::fromStdString(text), code};
+}
+
+} // namespace
+
+operator_page::operator_page(status_source source)
+    : status(std::move(source)), server(std::make_unique<QHttpServer>()) {
+    this->server->route("/health", [] { return plain("ok\n"); });
+    this->server->route("/ready", [this] {
+        bool const ready = this->status()->ready;
+        return plain(ready ? "ready\n" : "not ready\n", ready ? status_code::Ok : status_code::ServiceUnavailable);
+    });
+    this->server->route("/metrics", [this] { return plain(this->status()->metrics_text); });
+    this->server->route("/status", [this] {
+        return QHttpServerResponse("application/json", QByteArray::fromStdString(this->status()->status_json));
+    });
+}
+
+operator_page::~operator_page() = default;
+
+result<void> operator_page::open(endpoint const& address) {
+    auto const port = this->server->listen(QHostAddress(QString::fromStdString(address.address)), address.port);
+    if (port == 0) {
+        return fail({result_code::io_failed, "The operators' address " + address.text() + " can't be opened."});
+    }
+    return {};
+}
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/node/operator_page.hpp
@@ -0,0 +1,34 @@
+/// The operators' page: health, readiness, metrics and status, by Qt's HTTP server.
+///
+/// Every handler answers at once from a published snapshot, so the server's weaknesses with parked answers do not
+/// show (docs/design/http.md).
+#pragma once
+
+#include "base/problem.hpp"
+#include "config/settings.hpp"
+#include "node/node_core.hpp"
+
+#include <functional>
+#include <memory>
+
+class QHttpServer;
+
+namespace caraway {
+
+class operator_page {
+public:
+    using status_source = std::function<std::shared_ptr<node_status const>()>;
+
+    explicit operator_page(status_source source);
+    ~operator_page();
+    operator_page(operator_page const&) = delete;
+    operator_page& operator=(operator_page const&) = delete;
+
+    result<void> open(endpoint const& address);
+
+private:
+    status_source status;
+    std::unique_ptr<QHttpServer> server;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/node/originator.hpp
@@ -0,0 +1,108 @@
+/// The first node's side: checks, admission, choice of the executing host, retries, and the answer to the caller.
+///
+/// Calls of the own target come through here as well, on behalf of the request that it is serving.
+#pragma once
+
+#include "node/executor.hpp"
+#include "node/node_context.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace caraway {
+
+/// A request of a caller, or of the own target, until it is answered.
+struct origin_call {
+    enum class state : std::uint8_t { waiting_for_rate, waiting_for_link, in_flight };
+
+    std::uint64_t id{0};
+    door_side side{door_side::callers};
+    std::uint64_t door_id{0};
+    state stage{state::waiting_for_rate};
+    forward_message request;
+    std::string service;
+    bool idempotent{true};
+    std::optional<ticket> right;
+    std::string call_key; ///< The target's own key for this call.
+    std::uint64_t parent{0};
+    time_point arrived;
+    std::uint64_t arrived_wall{0};
+    time_point parked;
+    time_point deadline;
+    retry_allowance allowance; ///< Of a root call; a call of the own target draws on its parent's.
+    int handed{0};             ///< Allowance that went out with the attempt under way.
+    std::string host;
+    connection_id connection{0};
+    std::uint64_t call_id{0};
+    time_point sent;
+    bool was_sent{false}; ///< Some attempt may have reached its host.
+    bool caller_gone{false};
+    int resends{0};
+    std::string parent_span;
+};
+
+class originator {
+public:
+    originator(node_context& shared, executor& own_executor);
+
+    void on_request(door_request&& request, time_point now);
+    void on_hang_up(door_side side, std::uint64_t door_id, time_point now);
+    void on_answer(std::string const& from, answer_message&& answer, time_point now);
+    /// What was in flight on the connection has to find another way or an honest end.
+    void on_connection_lost(connection_id connection, time_point now);
+    /// Ends calls whose parent no longer needs them.
+    void abandon(std::uint64_t call, time_point now);
+    void tick(time_point now);
+    /// Lets waiting requests go on for which tokens have come.
+    void admit_supplied(time_point now);
+
+    std::size_t live() const { return this->calls.size(); }
+    std::unordered_map<std::string, std::size_t> waiting_for_rate() const;
+
+private:
+    struct refusal {
+        result_code code{result_code::ok};
+        double retry_after_ms{0};
+    };
+
+    void begin_root(door_request&& request, route const& matched, std::string const& organisation, time_point now);
+    void begin_nested(door_request&& request, route const& matched, execution& parent, time_point now);
+    origin_call make_call(door_request&& request, route const& matched, time_point now);
+    /// Checks the ticket of a caller's non-idempotent request, or hands one out. False when the call is answered.
+    bool check_ticket(origin_call& call, std::string const& text, time_point now);
+    void hand_out_ticket(origin_call const& call, result_code code, outcome result, time_point now);
+    std::optional<ticket> new_ticket(origin_call const& call, time_point now);
+    void admit(origin_call&& call, time_point now);
+    /// The baseline of experiments: every host allows its even part of the rate, whatever the others see.
+    bool admit_by_host(std::string const& organisation, time_point now);
+    void dispatch(origin_call& call, time_point now);
+    std::optional<std::string> choose_host(origin_call const& call, time_point now);
+    bool right_is_gone(origin_call const& call) const;
+    void send_attempt(origin_call& call, std::string const& host, time_point now);
+    bool may_retry(origin_call& call, answer_message const& answer);
+    retry_allowance& allowance_of(origin_call& call);
+    void learn(origin_call const& call, std::string const& from, answer_message const& answer, time_point now);
+    void reject(door_request const& request, result_code code, time_point now);
+    void refuse(origin_call& call, refusal why, time_point now);
+    void finish(origin_call& call, answer_message&& answer, time_point now);
+    void drop(std::uint64_t id);
+    void answer_door(door_side side, door_answer&& answer);
+    void cancel_attempt(origin_call& call, time_point now);
+    /// What may be said of a call of which this node has passed nothing on.
+    static outcome unsent_outcome(origin_call const& call);
+
+    node_context& context;
+    executor& local;
+    std::unordered_map<std::uint64_t, origin_call> calls;
+    std::unordered_map<std::uint64_t, std::uint64_t> by_call_id;
+    std::map<std::pair<door_side, std::uint64_t>, std::uint64_t> by_door;
+    std::unordered_map<std::string, std::deque<std::uint64_t>> parked; ///< By organisation.
+    std::unordered_map<std::string, rate_pool> host_pools;             ///< Of the baseline only.
+    std::uint64_t next_id{1};
+    std::uint64_t next_call_id{1};
+};
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/node/peer_table.hpp
@@ -0,0 +1,108 @@
+/// The other hosts: their links, what they report of themselves, and whether their connections are alive.
+///
+/// A connection is believed only as far as its last answered ping, reckoned from when the ping was sent. One that
+/// stays silent is replaced by a fresh one that was tried beside it.
+#pragma once
+
+#include "base/clock.hpp"
+#include "node/effects.hpp"
+#include "node/host_list.hpp"
+#include "policy/target_chooser.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace caraway {
+
+struct peer_info {
+    listed_host entry;
+    bool listed{false};
+    host_report report;
+    time_point reported;
+    bool has_report{false};
+    bool said_leaving{false};
+};
+
+class peer_table {
+public:
+    peer_table(std::string own_host, std::string own_domain, effects& wanted);
+
+    /// Takes a host list; hosts that are gone from it lose their links.
+    void update_list(std::vector<listed_host> const& hosts, time_point now);
+
+    /// A link opened; false when its end is not who was dialled, or not listed, and it is being closed.
+    bool on_opened(link_event const& event, time_point now);
+
+    /// Gives the host whose connection it was.
+    std::optional<std::string> on_closed(connection_id connection);
+
+    void on_ping(std::string const& host, connection_id connection, ping_message const& ping,
+                 host_report const& own_report, time_point now);
+    void on_pong(std::string const& host, connection_id connection, pong_message const& pong, time_point now);
+    void on_report(std::string const& host, host_report const& report, time_point now);
+
+    /// Dials, pings, replaces and closes as needed. Gives the connections given up as silent.
+    std::vector<connection_id> tick(host_report const& own_report, time_point now);
+
+    /// Sends on the preferred connection if it is open, else on the best one; false when there is none. The
+    /// connection used is stored in `used`.
+    bool send(std::string const& host, message content, time_point now, connection_id preferred = 0,
+              connection_id* used = nullptr);
+
+    /// Makes sure that a link to the host is tried.
+    void want(std::string const& host, time_point now);
+
+    bool is_open(std::string const& host) const;
+    /// Whether some open connection to the host has answered a ping lately.
+    peer_info const* find(std::string const& host) const;
+    std::vector<candidate_host> candidates(std::string const& service, time_point now);
+    std::vector<std::string> open_hosts() const;
+    std::vector<std::string> listed_hosts() const;
+    std::map<std::string, std::set<std::string>> domains() const;
+    std::size_t listed_count() const;
+
+private:
+    struct link_state {
+        connection_id connection{0};
+        bool open{false};
+        time_point dialled;
+        time_point heard;  ///< When the newest answered ping was sent.
+        time_point pinged; ///< When the oldest unanswered ping was sent; 0 when none is.
+        std::uint64_t sequence{0};
+        time_point last_ping;
+    };
+    struct peer_state {
+        peer_info info;
+        std::vector<link_state> dialled;
+        std::set<connection_id> accepted;
+        time_point wanted_until;
+        time_point next_dial;
+        duration dial_pause{0};
+        time_point last_used;
+    };
+
+    void dial(std::string const& host, peer_state& peer, time_point now);
+    void tend_links(std::string const& host, peer_state& peer, host_report const& own_report, time_point now,
+                    std::vector<connection_id>& silent);
+    void ping(link_state& link, host_report const& own_report, time_point now);
+    bool is_wanted(std::string const& host, peer_state const& peer, time_point now) const;
+    connection_id best_connection(peer_state const& peer) const;
+
+    std::string host;
+    std::string domain;
+    effects& out;
+    std::map<std::string, peer_state> peers;
+    std::map<connection_id, std::string> hosts_by_connection;
+    std::set<std::string> neighbours;
+    connection_id next_connection{1};
+    std::uint64_t next_sequence{1};
+};
+
+/// The hosts that a node gossips with: all of a small fleet, else a few of its own domain and of each other one.
+std::set<std::string> choose_neighbours(std::string const& own_host, std::string const& own_domain,
+                                        std::vector<listed_host> const& hosts);
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/node/status_report.cpp
@@ -0,0 +1,100 @@
+#include "node/status_report.hpp"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <array>
+
+namespace caraway {
+
+namespace {
+
+QString text(std::string_view value) { return QString::fromUtf8(value.data(), static_cast<qsizetype>(value.size())); }
+
+double number(std::uint64_t value) { return static_cast<double>(value); }
+
+QJsonArray peers_to_json(node_context const& context, time_point now) {
+    QJsonArray rows;
+    for (auto const& name : context.peers.listed_hosts()) {
+        auto const* peer = context.peers.find(name);
+        if (peer == nullptr || name == context.options.host) {
+            continue;
+        }
+        rows.append(QJsonObject{{"host", text(name)},
+                                {"failure_domain", text(peer->entry.failure_domain)},
+                                {"service", text(peer->entry.service)},
+                                {"link", context.peers.is_open(name) ? "open" : "closed"},
+                                {"leaving", peer->entry.leaving || peer->said_leaving},
+                                {"ejected", context.chooser.is_ejected(name, now)},
+                                {"in_flight", number(peer->report.in_flight)},
+                                {"limit", number(peer->report.limit)}});
+    }
+    return rows;
+}
+
+QJsonArray answers_to_json(metrics const& numbers) {
+    QJsonArray rows;
+    for (auto const& [key, count] : numbers.answers()) {
+        rows.append(QJsonObject{{"outcome", text(name_of(key.first))},
+                                {"code", static_cast<int>(key.second)},
+                                {"name", text(describe(key.second).name)},
+                                {"count", number(count)}});
+    }
+    return rows;
+}
+
+QJsonArray quarantine_to_json(quarantine const& suspects, time_point now) {
+    QJsonArray rows;
+    for (auto const& entry : suspects.suspects(now)) {
+        rows.append(QJsonObject{{"fingerprint", QString::number(entry.fingerprint, 16)},
+                                {"deaths", static_cast<int>(entry.deaths)},
+                                {"refused", entry.deaths >= quarantine::deaths_to_refuse},
+                                {"age_ms", (now - entry.since).milliseconds}});
+    }
+    return rows;
+}
+
+} // namespace
+
+std::string_view name_of(node_phase phase) {
+    static constexpr std::array<std::string_view, 4> names{"starting", "serving", "draining", "stopped"};
+    return names.at(static_cast<std::size_t>(phase));
+}
+
+std::string status_to_json(status_sources const& sources, time_point now) {
+    auto const& context = sources.context;
+    auto const& members = context.rights.members();
+    QJsonObject const rights{{"may_act", members.holds(now)},
+                             {"counted", static_cast<int>(members.members().size())},
+                             {"pools_owned", number(context.rights.pool_count())},
+                             {"lent_requests", to_requests(context.rights.outstanding())}};
+    QJsonObject const target{{"in_flight", number(sources.local.in_flight())},
+                             {"queued", number(sources.local.queued())},
+                             {"limit", sources.local.limit()},
+                             {"limiting", sources.local.admission().is_limiting()},
+                             {"capacity_per_second", sources.local.admission().capacity_per_second()},
+                             {"tickets", number(sources.local.remembered_tickets())}};
+    QJsonObject const status{
+        {"host", text(context.options.host)},
+        {"failure_domain", text(context.options.failure_domain)},
+        {"service", text(context.options.service)},
+        {"incarnation", QString::number(context.incarnation, 16)},
+        {"phase", text(name_of(context.phase))},
+        {"ready", sources.ready},
+        {"control", text(name_of(context.options.mode))},
+        {"configuration_revision", number(sources.spread.revision(document_kind::configuration))},
+        {"hosts_revision", number(sources.spread.revision(document_kind::hosts))},
+        {"reads_platform", sources.reads_platform},
+        {"rights", rights},
+        {"target", target},
+        {"answers", answers_to_json(context.numbers)},
+        {"links_refused", number(context.numbers.counter("links_refused"))},
+        {"links_silent", number(context.numbers.counter("links_silent"))},
+        {"retries", number(context.numbers.counter("retries"))},
+        {"quarantine", quarantine_to_json(context.suspects, now)},
+        {"peers", peers_to_json(context, now)}};
+    return QJsonDocument(status).toJson(QJsonDocument::Compact).toStdString();
+}
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/node/status_report.hpp
@@ -0,0 +1,25 @@
+/// The status of a node as JSON, for the operators' page and `carawayctl status`.
+#pragma once
+
+#include "node/document_spread.hpp"
+#include "node/executor.hpp"
+#include "node/node_context.hpp"
+
+#include <string>
+
+namespace caraway {
+
+struct status_sources {
+    node_context const& context;
+    executor const& local;
+    document_spread const& spread;
+    bool ready{false};
+    bool reads_platform{false};
+};
+
+std::string status_to_json(status_sources const& sources, time_point now);
+
+/// The name of a phase, as lifecycle.scxml and the status show it.
+std::string_view name_of(node_phase phase);
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/policy/quarantine.cpp
@@ -0,0 +1,73 @@
+#include "policy/quarantine.hpp"
+
+#include "base/digest.hpp"
+
+namespace caraway {
+
+namespace {
+
+constexpr std::size_t max_entries = 4096;
+
+} // namespace
+
+std::uint64_t quarantine::fingerprint_of(std::string const& organisation, std::string const& route,
+                                         std::string const& path, std::string const& body) {
+    return fast_hash(body, fast_hash(path, fast_hash(route, fast_hash(organisation))));
+}
+
+void quarantine::note_death(std::vector<std::uint64_t> const& in_flight, time_point now) {
+    for (auto const fingerprint : in_flight) {
+        if (this->entries.size() >= max_entries && !this->entries.contains(fingerprint)) {
+            continue;
+        }
+        auto& entry = this->entries[fingerprint];
+        entry.fingerprint = fingerprint;
+        ++entry.deaths;
+        entry.since = now;
+    }
+}
+
+void quarantine::note_survival(std::uint64_t fingerprint) {
+    auto const found = this->entries.find(fingerprint);
+    if (found != this->entries.end() && found->second.deaths < deaths_to_refuse) {
+        this->entries.erase(found);
+    }
+}
+
+quarantine_verdict quarantine::judge(std::uint64_t fingerprint, time_point now) const {
+    auto const found = this->entries.find(fingerprint);
+    if (found == this->entries.end() || now - found->second.since >= memory_span) {
+        return quarantine_verdict::clear;
+    }
+    return found->second.deaths >= deaths_to_refuse ? quarantine_verdict::refuse : quarantine_verdict::alone;
+}
+
+bool quarantine::learn(std::uint64_t fingerprint, std::uint32_t deaths, duration age, time_point now) {
+    bool const useless = age >= memory_span || age.milliseconds < 0 ||
+                         (this->entries.size() >= max_entries && !this->entries.contains(fingerprint));
+    if (useless) {
+        return false;
+    }
+    auto& entry = this->entries[fingerprint];
+    if (deaths <= entry.deaths) {
+        return false;
+    }
+    entry = {fingerprint, deaths, now - age};
+    return true;
+}
+
+std::vector<suspect> quarantine::suspects(time_point now) const {
+    std::vector<suspect> all;
+    for (auto const& [fingerprint, entry] : this->entries) {
+        if (now - entry.since < memory_span) {
+            all.push_back(entry);
+        }
+    }
+    return all;
+}
+
+void quarantine::forget_old(time_point now) {
+    std::erase_if(this->entries, [now](auto const& entry) { return now - entry.second.since >= memory_span; });
+}
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/policy/rate_wallet.hpp
@@ -0,0 +1,61 @@
+/// The tokens that one node has borrowed for one organisation, and how much it should borrow next.
+#pragma once
+
+#include "base/clock.hpp"
+#include "policy/rate_pool.hpp"
+
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace caraway {
+
+/// A report that is due to a lender.
+struct wallet_report {
+    std::string lender;
+    loan_use use;
+};
+
+class rate_wallet {
+public:
+    /// Spends one whole token that is still valid; false when there is none.
+    bool spend(time_point now);
+
+    /// Adds a loan; `expires` must be reckoned from before this node asked for it.
+    void add(std::string const& lender, loan_id loan, token_amount amount, time_point expires);
+
+    token_amount level(time_point now);
+
+    /// What to ask for now so that the coming demand is met, with `waiting` requests parked; 0 when enough is here.
+    token_amount shortage(time_point now, std::size_t waiting);
+
+    /// Reports that were not given before, and the return of what an idle wallet holds.
+    std::vector<wallet_report> take_reports(time_point now);
+
+    /// Whether nothing was asked of it for so long that it may be forgotten.
+    bool is_forgettable(time_point now) const;
+
+    /// Notes a request, admitted or not, for the estimate of demand.
+    void note_demand(time_point now);
+
+private:
+    struct loan_state {
+        std::string lender;
+        loan_id loan{0};
+        token_amount amount{0};
+        token_amount spent{0};
+        token_amount returned{0};
+        token_amount reported{0};
+        time_point expires;
+
+        token_amount left() const { return this->amount - this->spent - this->returned; }
+    };
+
+    void drop_expired(time_point now);
+
+    std::deque<loan_state> loans; ///< In the order of their coming.
+    double demand_per_second{0};
+    time_point last_demand;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/policy/rendezvous.hpp
@@ -0,0 +1,22 @@
+/// Placement by highest random weight: every host that knows the same candidates picks the same one.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace caraway {
+
+/// The weight of `host` for `subject`; greater is preferred, the host's name breaks ties.
+std::uint64_t rendezvous_weight(std::string_view host, std::string_view subject);
+
+/// Whether `left` is preferred over `right` for `subject`.
+bool rendezvous_prefers(std::string_view left, std::string_view right, std::string_view subject);
+
+/// The `count` most preferred candidates, best first.
+std::vector<std::string> rendezvous_top(std::span<std::string const> candidates, std::string_view subject,
+                                        std::size_t count);
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/policy/target_chooser.cpp
@@ -0,0 +1,156 @@
+#include "policy/target_chooser.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace caraway {
+
+namespace {
+
+constexpr int failures_to_eject = 3;
+constexpr duration first_ejection{1000};
+constexpr duration longest_ejection{30'000};
+constexpr duration refusal_memory{500};
+constexpr double refusal_cost = 0.25;
+constexpr duration warm_up{5000};
+constexpr double cold_penalty = 0.5;
+/// A report older than this says nothing of the load now.
+constexpr duration report_memory{1000};
+/// The own domain is kept to until its load exceeds the other's by this much: the link between domains costs time.
+constexpr double spill_margin = 0.35;
+constexpr double spill_threshold = 0.85;
+constexpr double time_smoothing = 0.1;
+
+} // namespace
+
+void target_chooser::note_sent(std::string const& host, time_point now) {
+    auto [entry, inserted] = this->hosts.try_emplace(host);
+    if (inserted) {
+        entry->second.first_used = now;
+    }
+    ++entry->second.outstanding;
+    if (entry->second.ejections > 0 && now >= entry->second.ejected_until && entry->second.failures_in_a_row > 0) {
+        entry->second.probing = true;
+    }
+}
+
+void target_chooser::note_answer(std::string const& host, duration taken, bool failed, bool refused, time_point now) {
+    auto& state = this->hosts[host];
+    state.outstanding = std::max(0, state.outstanding - 1);
+    bool const was_probe = std::exchange(state.probing, false);
+    if (refused) {
+        double const faded = state.refusals * std::exp(-((now - state.refusals_at) / refusal_memory));
+        state.refusals = std::min(8.0, faded + 1);
+        state.refusals_at = now;
+    }
+    if (!failed) {
+        state.failures_in_a_row = 0;
+        state.ejections = refused ? state.ejections : 0;
+        state.typical_ms += time_smoothing * (taken.milliseconds - state.typical_ms);
+        return;
+    }
+    ++state.failures_in_a_row;
+    if (state.failures_in_a_row >= failures_to_eject || was_probe) {
+        auto const span = first_ejection * std::exp2(std::min(state.ejections, 10));
+        state.ejected_until = now + std::min(span, longest_ejection);
+        ++state.ejections;
+        state.first_used = state.ejected_until;
+    }
+}
+
+void target_chooser::note_abandoned(std::string const& host) {
+    auto const found = this->hosts.find(host);
+    if (found != this->hosts.end()) {
+        found->second.outstanding = std::max(0, found->second.outstanding - 1);
+        found->second.probing = false;
+    }
+}
+
+bool target_chooser::is_ejected(std::string const& host, time_point now) const {
+    auto const found = this->hosts.find(host);
+    return found != this->hosts.end() && now < found->second.ejected_until;
+}
+
+std::vector<std::string> target_chooser::ejected(time_point now) const {
+    std::vector<std::string> names;
+    for (auto const& [name, state] : this->hosts) {
+        if (now < state.ejected_until) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+int target_chooser::outstanding(std::string const& host) const {
+    auto const found = this->hosts.find(host);
+    return found == this->hosts.end() ? 0 : found->second.outstanding;
+}
+
+void target_chooser::keep_only(std::vector<std::string> const& listed) {
+    std::erase_if(this->hosts, [&](auto const& entry) {
+        return entry.second.outstanding == 0 && std::ranges::find(listed, entry.first) == listed.end();
+    });
+}
+
+bool target_chooser::may_use(std::string const& host, bool idempotent, time_point now) const {
+    auto const found = this->hosts.find(host);
+    if (found == this->hosts.end()) {
+        return true;
+    }
+    auto const& state = found->second;
+    if (now < state.ejected_until) {
+        return false;
+    }
+    bool const on_trial = state.ejections > 0 && state.failures_in_a_row > 0;
+    return !on_trial || (idempotent && !state.probing);
+}
+
+double target_chooser::load_of(candidate_host const& candidate, time_point now) const {
+    auto const found = this->hosts.find(candidate.host);
+    double const limit = std::max<std::uint32_t>(1, candidate.limit);
+    // A report is a hint: what this node itself has outstanding is the least there can be.
+    double const reported = candidate.report_age < report_memory ? candidate.reported_in_flight : 0;
+    if (found == this->hosts.end()) {
+        return reported / limit + cold_penalty;
+    }
+    auto const& state = found->second;
+    double const in_flight = std::max(reported, static_cast<double>(state.outstanding));
+    double const refusals = state.refusals * std::exp(-((now - state.refusals_at) / refusal_memory));
+    double const warm = std::clamp((now - state.first_used) / warm_up, 0.0, 1.0);
+    return in_flight / limit + refusal_cost * refusals + cold_penalty * (1 - warm);
+}
+
+candidate_host const* target_chooser::pick(std::vector<candidate_host const*> const& usable, std::uint64_t random,
+                                           time_point now) const {
+    if (usable.empty()) {
+        return nullptr;
+    }
+    auto const first = (random & 0xFFFF'FFFFU) % usable.size();
+    auto const step = usable.size() > 1 ? 1 + (random >> 32U) % (usable.size() - 1) : 0;
+    auto const second = (first + step) % usable.size();
+    bool const keep_first = this->load_of(*usable[first], now) <= this->load_of(*usable[second], now);
+    return keep_first ? usable[first] : usable[second];
+}
+
+std::optional<std::string> target_chooser::choose(std::vector<candidate_host> const& candidates, bool idempotent,
+                                                  std::uint64_t random, time_point now) {
+    std::vector<candidate_host const*> near;
+    std::vector<candidate_host const*> far;
+    for (auto const& candidate : candidates) {
+        if (this->may_use(candidate.host, idempotent, now)) {
+            (candidate.same_domain ? near : far).push_back(&candidate);
+        }
+    }
+    auto const* own = this->pick(near, random, now);
+    auto const* other = this->pick(far, random, now);
+    if (own == nullptr || other == nullptr) {
+        auto const* only = own != nullptr ? own : other;
+        return only == nullptr ? std::nullopt : std::optional(only->host);
+    }
+    double const own_load = this->load_of(*own, now);
+    bool const spill = own_load > spill_threshold && own_load > this->load_of(*other, now) + spill_margin;
+    return spill ? other->host : own->host;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/policy/ticket_store.hpp
@@ -0,0 +1,148 @@
+/// What an executing host remembers of the tickets it has seen, for two windows of its own clock.
+#pragma once
+
+#include "base/clock.hpp"
+#include "policy/ticket.hpp"
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <unordered_map>
+
+namespace caraway {
+
+/// What to do with a request that carries a ticket.
+enum class ticket_verdict : std::uint8_t {
+    run,        ///< First sight: it is marked as running now.
+    wait,       ///< The first copy runs; its answer is the answer.
+    replay,     ///< It is over; the kept answer is the answer.
+    over,       ///< It ran, and its answer is no longer kept.
+    expired,    ///< Older than what is remembered: it may have run.
+    store_full, ///< One more can't be remembered, so it must not run.
+};
+
+/// `Answer` is what is kept of an answer; it has `size()` in bytes.
+template<typename Answer>
+class ticket_store {
+public:
+    explicit ticket_store(time_point started) : window_start(started) {}
+
+    /// The number of the current window; it goes into new tickets.
+    std::uint64_t window(time_point now) {
+        this->advance(now);
+        return this->current;
+    }
+
+    /// Decides, and marks a first sight as running by request `id`.
+    ticket_verdict claim(ticket const& value, std::uint64_t id, time_point now) {
+        this->advance(now);
+        if (value.window + 1 < this->current || value.window > this->current) {
+            return ticket_verdict::expired;
+        }
+        auto& entries = this->generation(value.window);
+        auto const found = entries.find(value.number);
+        if (found != entries.end()) {
+            if (!found->second.done) {
+                return ticket_verdict::wait;
+            }
+            return found->second.has_answer ? ticket_verdict::replay : ticket_verdict::over;
+        }
+        if (entries.size() >= max_tickets) {
+            return ticket_verdict::store_full;
+        }
+        entries[value.number] = {.request = id};
+        return ticket_verdict::run;
+    }
+
+    /// The request that runs, or ran, under the ticket; 0 when unknown.
+    std::uint64_t request_of(ticket const& value) {
+        auto const* entry = this->find(value);
+        return entry == nullptr ? 0 : entry->request;
+    }
+
+    /// Ends the ticket for good; also one that was refused, so that a late copy can't run.
+    void finish(ticket const& value, Answer answer) {
+        auto* entry = this->find(value);
+        if (entry == nullptr) {
+            return;
+        }
+        entry->done = true;
+        entry->has_answer = true;
+        this->kept_bytes += answer.size();
+        entry->answer = std::move(answer);
+        this->kept.push_back(value);
+        while (this->kept_bytes > max_kept_bytes && !this->kept.empty()) {
+            this->drop_answer(this->kept.front());
+            this->kept.pop_front();
+        }
+    }
+
+    /// The kept answer; null when there is none.
+    Answer const* answer(ticket const& value) {
+        auto const* entry = this->find(value);
+        return entry != nullptr && entry->has_answer ? &entry->answer : nullptr;
+    }
+
+    std::size_t size() const { return this->generations[0].size() + this->generations[1].size(); }
+
+    static constexpr duration window_span{60'000};
+    static constexpr std::size_t max_tickets = 50'000;
+    static constexpr std::size_t max_kept_bytes = 4'194'304;
+
+private:
+    struct entry_state {
+        std::uint64_t request{0};
+        bool done{false};
+        bool has_answer{false};
+        Answer answer{};
+    };
+    using entry_map = std::unordered_map<std::string, entry_state>;
+
+    entry_map& generation(std::uint64_t number) { return this->generations.at(number % 2); }
+
+    entry_state* find(ticket const& value) {
+        if (value.window + 1 < this->current || value.window > this->current) {
+            return nullptr;
+        }
+        auto& entries = this->generation(value.window);
+        auto const found = entries.find(value.number);
+        return found == entries.end() ? nullptr : &found->second;
+    }
+
+    void drop_answer(ticket const& value) {
+        auto* entry = this->find(value);
+        if (entry != nullptr && entry->has_answer) {
+            this->kept_bytes -= entry->answer.size();
+            entry->answer = {};
+            entry->has_answer = false;
+        }
+    }
+
+    void advance(time_point now) {
+        while (now - this->window_start >= window_span) {
+            ++this->current;
+            this->window_start = this->window_start + window_span;
+            this->clear_generation();
+        }
+    }
+
+    /// Forgets the tickets of the window before the last, whose place the new window takes.
+    void clear_generation() {
+        auto& entries = this->generation(this->current);
+        for (auto const& [number, entry] : entries) {
+            this->kept_bytes -= entry.has_answer ? entry.answer.size() : 0;
+        }
+        entries.clear();
+        while (!this->kept.empty() && this->kept.front().window + 1 < this->current) {
+            this->kept.pop_front();
+        }
+    }
+
+    std::uint64_t current{1};
+    time_point window_start;
+    std::array<entry_map, 2> generations;
+    std::deque<ticket> kept; ///< In the order in which they ended.
+    std::size_t kept_bytes{0};
+};
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/policy/work_queue.hpp
@@ -0,0 +1,62 @@
+/// The short queue before the own target: ordered by importance, bounded by length and age.
+#pragma once
+
+#include "base/clock.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+namespace caraway {
+
+/// A request that waits for a slot.
+struct queued_work {
+    std::uint64_t id{0};
+    bool holds_work{false}; ///< Part of a request that other targets have worked on already.
+    std::uint8_t priority{0};
+    std::string organisation;
+    double weight{1};
+    time_point arrived;
+    time_point deadline;
+};
+
+/// The order is: work that others depend on, then priority class, then the organisation that got least for its
+/// weight, then age.
+class work_queue {
+public:
+    explicit work_queue(std::size_t most) : capacity(most) {}
+
+    void set_capacity(std::size_t most) { this->capacity = most; }
+
+    /// Adds the work; gives the id that had to yield, which may be its own, or 0 when there was room.
+    std::uint64_t push(queued_work work);
+
+    /// The most important work that is still worth starting; 0 when there is none. Adds what is too late to `late`.
+    std::uint64_t pop(time_point now, std::vector<std::uint64_t>& late);
+
+    /// Moves out everything whose age limit or deadline has passed.
+    void expire(time_point now, std::vector<std::uint64_t>& late);
+
+    /// Takes the work out; false when it isn't there.
+    bool remove(std::uint64_t id);
+
+    std::size_t size() const { return this->order.size(); }
+
+private:
+    /// Smaller is served sooner: yields to others, class, virtual start, arrival.
+    using rank = std::tuple<bool, std::uint8_t, double, std::uint64_t>;
+
+    static bool is_late(queued_work const& work, time_point now);
+
+    std::size_t capacity;
+    std::map<rank, queued_work> order;
+    std::unordered_map<std::uint64_t, rank> ranks;
+    std::unordered_map<std::string, double> virtual_finish; ///< Service received, by organisation.
+    double virtual_now{0};
+    std::uint64_t next_arrival{0};
+};
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/telemetry/exporter.cpp
@@ -0,0 +1,91 @@
+#include "telemetry/exporter.hpp"
+
+#include <unistd.h>
+
+namespace caraway {
+
+namespace {
+
+constexpr std::size_t ring_capacity = 16'384;
+
+void write_all(int descriptor, std::string const& text) {
+    std::size_t written = 0;
+    while (written < text.size()) {
+        auto const count = ::write(descriptor, text.data() + written, text.size() - written);
+        if (count <= 0) {
+            return;
+        }
+        written += static_cast<std::size_t>(count);
+    }
+}
+
+} // namespace
+
+exporter::exporter(exporter_settings wanted) : options(std::move(wanted)), records(ring_capacity) {
+    this->records.set_wake([this] {
+        {
+            std::lock_guard const guard(this->mutex);
+            this->pending = true;
+        }
+        this->woken.notify_one();
+    });
+    this->worker = std::thread([this] { this->run(); });
+}
+
+exporter::~exporter() {
+    {
+        std::lock_guard const guard(this->mutex);
+        this->stopping = true;
+    }
+    this->woken.notify_one();
+    this->worker.join();
+}
+
+void exporter::push(record&& value) {
+    if (!this->records.try_push(std::move(value))) {
+        ++this->dropped_records;
+    }
+}
+
+void exporter::take(log_entry&& entry) { this->push(std::move(entry)); }
+
+void exporter::take(span&& value) {
+    bool const wanted = this->options.file_descriptor >= 0 || this->options.post;
+    if (wanted) {
+        this->push(std::move(value));
+    }
+}
+
+void exporter::run() {
+    bool last_round = false;
+    while (!last_round) {
+        {
+            std::unique_lock lock(this->mutex);
+            this->woken.wait(lock, [this] { return this->pending || this->stopping; });
+            this->pending = false;
+            last_round = this->stopping;
+        }
+        std::vector<span> spans;
+        this->records.drain([&spans](record&& value) {
+            if (auto* entry = std::get_if<log_entry>(&value)) {
+                return write_log(*entry);
+            }
+            spans.push_back(std::move(std::get<span>(value)));
+        });
+        if (!spans.empty()) {
+            this->write_spans(spans);
+        }
+    }
+}
+
+void exporter::write_spans(std::vector<span> const& spans) {
+    auto const text = spans_to_json(spans, this->options.service, this->options.host);
+    if (this->options.file_descriptor >= 0) {
+        write_all(this->options.file_descriptor, text + "\n");
+    }
+    if (this->options.post) {
+        this->options.post(text);
+    }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/telemetry/metrics.cpp
@@ -0,0 +1,84 @@
+#include "telemetry/metrics.hpp"
+
+#include <boost/histogram.hpp>
+
+#include <array>
+#include <sstream>
+
+namespace caraway {
+
+namespace {
+
+namespace histogram = boost::histogram;
+
+constexpr std::array<std::string_view, 3> timing_names{"request", "target", "queue"};
+constexpr unsigned int bin_count = 36;
+constexpr double lowest_ms = 0.05;
+constexpr double highest_ms = 20'000;
+
+using log_axis = histogram::axis::regular<double, histogram::axis::transform::log>;
+using timing_histogram = decltype(histogram::make_histogram(log_axis(1, 1.0, 2.0)));
+
+timing_histogram make_timing() { return histogram::make_histogram(log_axis(bin_count, lowest_ms, highest_ms)); }
+
+void write_histogram(std::ostringstream& stream, std::string_view name, timing_histogram const& values, double sum) {
+    double total = values.at(-1);
+    for (int index = 0; index < static_cast<int>(bin_count); ++index) {
+        total += values.at(index);
+        stream << "caraway_" << name << "_milliseconds_bucket{le=\"" << values.axis().bin(index).upper() << "\"} "
+               << total << '\n';
+    }
+    total += values.at(bin_count);
+    stream << "caraway_" << name << "_milliseconds_bucket{le=\"+Inf\"} " << total << '\n';
+    stream << "caraway_" << name << "_milliseconds_sum " << sum << '\n';
+    stream << "caraway_" << name << "_milliseconds_count " << total << '\n';
+}
+
+} // namespace
+
+struct metrics::histograms {
+    std::array<timing_histogram, timing_names.size()> values{make_timing(), make_timing(), make_timing()};
+    std::array<double, timing_names.size()> sums{};
+};
+
+metrics::metrics() : timings(std::make_unique<histograms>()) {}
+
+metrics::~metrics() = default;
+
+void metrics::count_answer(outcome result, result_code code) { ++this->answer_counts[{result, code}]; }
+
+void metrics::add(std::string const& name, std::uint64_t amount) { this->counters[name] += amount; }
+
+void metrics::set(std::string const& name, double value) { this->gauges[name] = value; }
+
+void metrics::observe(timing what, duration taken) {
+    auto const index = static_cast<std::size_t>(what);
+    this->timings->values.at(index)(taken.milliseconds);
+    this->timings->sums.at(index) += taken.milliseconds;
+}
+
+std::uint64_t metrics::counter(std::string const& name) const {
+    auto const found = this->counters.find(name);
+    return found == this->counters.end() ? 0 : found->second;
+}
+
+std::string metrics::to_prometheus() const {
+    std::ostringstream stream;
+    for (auto const& [key, count] : this->answer_counts) {
+        stream << "caraway_answers_total{outcome=\"" << name_of(key.first) << "\",code=\"" << describe(key.second).name
+               << "\"} " << count << '\n';
+    }
+    for (auto const& [name, count] : this->counters) {
+        stream << "caraway_" << name << "_total " << count << '\n';
+    }
+    for (auto const& [name, value] : this->gauges) {
+        stream << "caraway_" << name << ' ' << value << '\n';
+    }
+    for (std::size_t index = 0; index < timing_names.size(); ++index) {
+        write_histogram(stream, timing_names.at(index), this->timings->values.at(index),
+                        this->timings->sums.at(index));
+    }
+    return stream.str();
+}
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/telemetry/metrics.hpp
@@ -0,0 +1,49 @@
+/// Counters and histograms of one node, written in the Prometheus text format.
+#pragma once
+
+#include "base/clock.hpp"
+#include "base/result_code.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace caraway {
+
+/// Where a time is measured.
+enum class timing : std::uint8_t {
+    request, ///< From a caller's request to its answer at the first node.
+    target,  ///< From the send to the own target until its answer.
+    queue,   ///< In the queue before the own target.
+};
+
+/// Not thread-safe: one duty owns it and publishes its text.
+class metrics {
+public:
+    metrics();
+    ~metrics();
+    metrics(metrics const&) = delete;
+    metrics& operator=(metrics const&) = delete;
+
+    void count_answer(outcome result, result_code code);
+    void add(std::string const& name, std::uint64_t amount = 1);
+    void set(std::string const& name, double value);
+    void observe(timing what, duration taken);
+
+    std::uint64_t counter(std::string const& name) const;
+    std::map<std::pair<outcome, result_code>, std::uint64_t> const& answers() const { return this->answer_counts; }
+
+    std::string to_prometheus() const;
+
+private:
+    struct histograms;
+
+    std::map<std::pair<outcome, result_code>, std::uint64_t> answer_counts;
+    std::map<std::string, std::uint64_t> counters;
+    std::map<std::string, double> gauges;
+    std::unique_ptr<histograms> timings;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/utilities/carawayctl/http_get.hpp
@@ -0,0 +1,13 @@
+/// One GET to a node's operators' page.
+#pragma once
+
+#include "base/problem.hpp"
+
+#include <string>
+
+namespace caraway {
+
+/// The body of the answer; fails with io_failed when there is none within a few seconds.
+result<std::string> http_get(std::string const& url);
+
+} // namespace caraway
