membership: Prove that no window admits more than rate and burst

A property test drives several rate_authority objects over a network that loses, doubles and delays, under a lagging host list, with restarts, pauses, joins, kills, leaves, cuts and hosts that borrow and then stop. A token bucket replayed over all admissions bounds every window at once. Demand now changes from step to step.

--- a/libraries/policy/work_queue.cpp
+++ b/libraries/policy/work_queue.cpp
@@ -20,11 +20,13 @@
 }
 
 std::uint64_t work_queue::push(queued_work work) {
-    if (this->virtual_finish.size() > max_remembered_organisations) {
-        this->virtual_finish.clear();
+    work.priority = std::min<std::uint8_t>(work.priority, queue_priorities - 1);
+    auto& share = this->shares.at(work.priority);
+    if (share.finish.size() > max_remembered_organisations) {
+        share.finish.clear();
     }
-    auto& finish = this->virtual_finish[work.organisation];
-    double const start = std::max(this->virtual_now, finish);
+    auto& finish = share.finish[work.organisation];
+    double const start = std::max(share.now, finish);
     finish = start + 1.0 / work.weight;
     auto const id = work.id;
     rank const place{!work.holds_work, work.priority, start, this->next_arrival++};
@@ -36,7 +38,7 @@
     auto const last = std::prev(this->order.end());
     auto const yielded = last->second.id;
     // What is turned away got no service.
-    this->virtual_finish[last->second.organisation] -= 1.0 / last->second.weight;
+    this->shares.at(last->second.priority).finish[last->second.organisation] -= 1.0 / last->second.weight;
     this->ranks.erase(yielded);
     this->order.erase(last);
     return yielded;
@@ -46,7 +48,8 @@
     while (!this->order.empty()) {
         auto const first = this->order.begin();
         auto const work = first->second;
-        this->virtual_now = std::max(this->virtual_now, std::get<2>(first->first));
+        auto& share = this->shares.at(work.priority);
+        share.now = std::max(share.now, std::get<2>(first->first));
         this->ranks.erase(work.id);
         this->order.erase(first);
         if (!is_late(work, now)) {
--- a/libraries/policy/work_queue.hpp
+++ b/libraries/policy/work_queue.hpp
@@ -3,6 +3,7 @@
 
 #include "base/clock.hpp"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -12,6 +13,9 @@
 
 namespace caraway {
 
+/// Priorities that are told apart; a greater one counts as the last.
+inline constexpr std::size_t queue_priorities = 3;
+
 /// A request that waits for a slot.
 struct queued_work {
     std::uint64_t id{0};
@@ -49,13 +53,17 @@
     /// Smaller is served sooner: yields to others, class, virtual start, arrival.
     using rank = std::tuple<bool, std::uint8_t, double, std::uint64_t>;
 
+    struct fair_share {
+        std::unordered_map<std::string, double> finish; ///< Virtual end of what each organisation was given.
+        double now{0};
+    };
+
     static bool is_late(queued_work const& work, time_point now);
 
     std::size_t capacity;
     std::map<rank, queued_work> order;
     std::unordered_map<std::uint64_t, rank> ranks;
-    std::unordered_map<std::string, double> virtual_finish; ///< Service received, by organisation.
-    double virtual_now{0};
+    std::array<fair_share, queue_priorities> shares; ///< By priority: an organisation's background work must not delay its orders.
     std::uint64_t next_arrival{0};
 };
 
--- a/tests/link/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include <doctest/doctest.h>
--- /dev/null
+++ b/tests/membership/rate_authority_test.cpp
@@ -0,0 +1,90 @@
+/// Rate and burst over the whole fleet: never exceeded under any fault, and hardly ever refused without need.
+
+#include "membership/rate_simulation.hpp"
+#include "support/property.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <vector>
+
+namespace {
+
+using namespace caraway;
+using namespace caraway::tests;
+
+constexpr rate_terms terms{200, 100};
+constexpr int conservation_runs = 400;
+constexpr double settle_ms = 4000;
+constexpr double rounding = 1e-3; ///< Requests; the simulation's clock steps are not whole binary fractions.
+
+struct planned_action {
+    simulation_action action{simulation_action::restart};
+    std::uint64_t choice{0};
+    int pause_ms{0};
+    double demand{0}; ///< During the pause, as a multiple of the rate.
+};
+
+rc::Gen<std::vector<planned_action>> any_plan() {
+    auto const action = rc::gen::map(
+        rc::gen::tuple(rc::gen::inRange(0, simulation_action_count), rc::gen::inRange<std::uint64_t>(0, 1000), rc::gen::inRange(10, 4000),
+                       rc::gen::element(0.0, 0.3, 1.0, 5.0)),
+        [](std::tuple<int, std::uint64_t, int, double> const& parts) {
+            return planned_action{static_cast<simulation_action>(std::get<0>(parts)), std::get<1>(parts),
+                                  std::get<2>(parts), std::get<3>(parts)};
+        });
+    return rc::gen::container<std::vector<planned_action>>(action);
+}
+
+} // namespace
+
+TEST_CASE("no window admits more than rate and burst, whatever fails") {
+    check_property("conservation", [] {
+        auto const seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
+        auto const plan = *any_plan();
+        simulation_faults const faults{*rc::gen::inRange(0, 20) / 100.0, *rc::gen::inRange(0, 20) / 100.0,
+                                       *rc::gen::inRange(0, 10) / 100.0, *rc::gen::inRange(1, 1000) * 1.0};
+        auto const total = *rc::gen::element(rate_terms{200, 100}, rate_terms{20, 100}, rate_terms{400, 50});
+        rate_simulation fleet(*rc::gen::inRange(1, 4), *rc::gen::inRange(1, 5), total, faults, seed);
+        fleet.run(settle_ms, 0);
+        for (auto const& step : plan) {
+            fleet.act(step.action, step.choice);
+            fleet.run(step.pause_ms, step.demand * total.rate);
+        }
+        fleet.act(simulation_action::wake, 0);
+        fleet.act(simulation_action::heal, 0);
+        fleet.run(settle_ms, 5 * total.rate);
+        RC_ASSERT(fleet.excess() <= rounding);
+    }, conservation_runs);
+}
+
+TEST_CASE("an organisation inside its rate is not refused, also when all its callers enter at one host") {
+    for (int const entry : {-1, 0}) {
+        rate_simulation fleet(3, 4, terms, {}, 7);
+        fleet.run(settle_ms, 0);
+        REQUIRE(fleet.all_settled());
+        fleet.run(2000, 0);
+        fleet.run(30'000, 0.8 * terms.rate, entry);
+        double const offered = static_cast<double>(fleet.admitted() + fleet.refused());
+        INFO("refused " << fleet.refused() << " of " << offered);
+        CHECK(static_cast<double>(fleet.refused()) <= 0.001 * offered);
+        CHECK(fleet.excess() <= rounding);
+    }
+}
+
+TEST_CASE("an organisation over its rate gets its rate") {
+    rate_simulation fleet(3, 4, terms, {}, 11);
+    fleet.run(settle_ms, 0);
+    fleet.run(20'000, 5 * terms.rate);
+    CHECK(fleet.excess() <= rounding);
+    CHECK(static_cast<double>(fleet.admitted()) >= 0.9 * terms.rate * 20);
+}
+
+TEST_CASE("a cut failure domain goes on serving its part") {
+    rate_simulation fleet(3, 3, terms, {}, 13);
+    fleet.run(settle_ms, 0);
+    fleet.act(simulation_action::cut, 0);
+    auto const before = fleet.admitted();
+    fleet.run(10'000, 0.25 * terms.rate, 0);
+    CHECK(static_cast<double>(fleet.admitted() - before) >= 0.99 * 0.25 * terms.rate * 10);
+    CHECK(fleet.excess() <= rounding);
+}
--- /dev/null
+++ b/tests/membership/rate_simulation.cpp
@@ -0,0 +1,230 @@
+#include "membership/rate_simulation.hpp"
+
+#include <algorithm>
+
+namespace caraway::tests {
+
+namespace {
+
+constexpr std::size_t spike_requests = 40;
+
+} // namespace
+
+rate_simulation::rate_simulation(int domains, int hosts_per_domain, rate_terms terms, simulation_faults wanted,
+                                 std::uint64_t seed)
+    : total(terms), domain_count(domains), faults(wanted), random(seed) {
+    for (int domain = 0; domain < domains; ++domain) {
+        for (int index = 0; index < hosts_per_domain; ++index) {
+            simulated_host host;
+            host.domain = "d" + std::to_string(domain);
+            host.name = host.domain + "-h" + std::to_string(index);
+            this->listed[host.domain].insert(host.name);
+            this->hosts.push_back(std::move(host));
+        }
+    }
+    this->publish();
+    for (auto& host : this->hosts) {
+        this->start(host);
+    }
+}
+
+void rate_simulation::publish() { this->lists.push_back({this->now.milliseconds, this->listed}); }
+
+void rate_simulation::start(simulated_host& host) {
+    host.incarnation = this->next_incarnation++;
+    host.authority =
+        std::make_unique<rate_authority>(host.name, host.domain, host.incarnation, rights_timing{}, this->now);
+    double const share = 1.0 / this->domain_count;
+    host.authority->configure({{tested_organisation, {this->total.rate * share, this->total.burst * share}}},
+                              this->now);
+    host.running = true;
+    host.paused = false;
+    host.inbox.clear();
+    host.waiting = 0;
+    host.list_revision = 0;
+    this->take_list(host);
+}
+
+void rate_simulation::take_list(simulated_host& host) {
+    // A process sees revisions in their order, each some time after it was published.
+    auto newest = host.list_revision;
+    while (newest < this->lists.size()) {
+        double const lag = this->uniform() * this->faults.greatest_list_lag_ms;
+        if (this->lists[newest].published + lag > this->now.milliseconds && newest > 0) {
+            break;
+        }
+        ++newest;
+    }
+    if (newest > host.list_revision) {
+        host.list_revision = newest;
+        host.authority->update_hosts(this->lists[newest - 1].hosts, this->now);
+    }
+}
+
+void rate_simulation::send(simulated_host& host) {
+    for (auto& letter : host.authority->take_letters()) {
+        auto const target = std::ranges::find(this->hosts, letter.to, &simulated_host::name);
+        bool const crosses = target == this->hosts.end() ||
+                             (!this->cut_domain.empty() &&
+                              (target->domain == this->cut_domain) != (host.domain == this->cut_domain));
+        if (crosses || this->uniform() < this->faults.loss) {
+            continue;
+        }
+        int const copies = this->uniform() < this->faults.doubling ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy) {
+            bool const late = this->uniform() < this->faults.lateness;
+            double const delay = late ? this->uniform() * 3000 : 0.5 + this->uniform() * 8;
+            this->flying.push({this->now.milliseconds + delay, host.name, letter});
+        }
+    }
+}
+
+void rate_simulation::offer(simulated_host& host, double count) {
+    auto whole = static_cast<int>(count) + (this->uniform() < count - static_cast<int>(count) ? 1 : 0);
+    for (; whole > 0; --whole) {
+        if (host.authority->admit(tested_organisation, host.waiting, this->now)) {
+            this->admissions.push_back(this->now.milliseconds);
+        } else if (host.waiting < spike_requests && !host.authority->is_dry(tested_organisation, this->now)) {
+            ++host.waiting;
+        } else {
+            ++this->refusals;
+        }
+    }
+    while (host.waiting > 0 && host.authority->admit_waiting(tested_organisation, this->now)) {
+        --host.waiting;
+        this->admissions.push_back(this->now.milliseconds);
+    }
+    if (host.waiting > 0 && host.authority->is_dry(tested_organisation, this->now)) {
+        this->refusals += host.waiting;
+        host.waiting = 0;
+    }
+}
+
+void rate_simulation::step(double requests_per_step, int only_host) {
+    this->now = this->now + duration{step_ms};
+    while (!this->flying.empty() && this->flying.top().at <= this->now.milliseconds) {
+        auto const flight = this->flying.top();
+        this->flying.pop();
+        auto const target = std::ranges::find(this->hosts, flight.letter.to, &simulated_host::name);
+        if (target == this->hosts.end() || !target->running) {
+            continue;
+        }
+        target->inbox.emplace_back(flight.from, flight.letter.content);
+    }
+    auto const running = std::ranges::count_if(
+        this->hosts, [](simulated_host const& host) { return host.running && !host.paused; });
+    for (std::size_t index = 0; index < this->hosts.size(); ++index) {
+        auto& host = this->hosts[index];
+        if (!host.running || host.paused) {
+            continue;
+        }
+        for (auto const& [from, content] : host.inbox) {
+            host.authority->receive(from, content, this->now);
+        }
+        host.inbox.clear();
+        this->take_list(host);
+        bool const takes_all = only_host == static_cast<int>(index);
+        if (only_host < 0) {
+            this->offer(host, requests_per_step / static_cast<double>(running));
+        } else if (takes_all) {
+            this->offer(host, requests_per_step);
+        }
+        host.authority->tick(this->now, {{tested_organisation, host.waiting}});
+        this->send(host);
+    }
+}
+
+void rate_simulation::run(double span_ms, double requests_per_second, int only_host) {
+    auto const end = this->now + duration{span_ms};
+    while (this->now < end) {
+        this->step(requests_per_second * step_ms / 1000, only_host);
+    }
+}
+
+void rate_simulation::act(simulation_action action, std::uint64_t choice) {
+    auto& host = this->hosts[choice % this->hosts.size()];
+    switch (action) {
+    case simulation_action::restart:
+        if (this->listed[host.domain].contains(host.name)) {
+            this->start(host);
+        }
+        return;
+    case simulation_action::pause:
+        host.paused = host.running;
+        return;
+    case simulation_action::wake:
+        for (auto& sleeper : this->hosts) {
+            sleeper.paused = false;
+        }
+        return;
+    case simulation_action::unlist_paused:
+        for (auto const& sleeper : this->hosts) {
+            if (sleeper.paused) {
+                this->listed[sleeper.domain].erase(sleeper.name);
+            }
+        }
+        return this->publish();
+    case simulation_action::spike_and_pause:
+        if (!host.running || host.paused) {
+            return;
+        }
+        this->offer(host, spike_requests);
+        host.authority->tick(this->now, {{tested_organisation, host.waiting}});
+        this->send(host);
+        this->run(4 * step_ms, 0);
+        host.paused = true;
+        return;
+    case simulation_action::join: {
+        simulated_host fresh;
+        fresh.domain = "d" + std::to_string(choice % static_cast<std::uint64_t>(this->domain_count));
+        fresh.name = fresh.domain + "-j" + std::to_string(this->hosts.size());
+        this->listed[fresh.domain].insert(fresh.name);
+        this->publish();
+        this->hosts.push_back(std::move(fresh));
+        return this->start(this->hosts.back());
+    }
+    case simulation_action::kill_and_unlist:
+        if (this->listed[host.domain].size() > 1) {
+            host.running = false;
+            this->listed[host.domain].erase(host.name);
+            this->publish();
+        }
+        return;
+    case simulation_action::leave:
+        if (this->listed[host.domain].size() > 1 && host.running && !host.paused) {
+            host.authority->leave(this->now);
+            this->send(host);
+            this->listed[host.domain].erase(host.name);
+            this->publish();
+        }
+        return;
+    case simulation_action::cut:
+        this->cut_domain = host.domain;
+        return;
+    case simulation_action::heal:
+        this->cut_domain.clear();
+        return;
+    }
+}
+
+double rate_simulation::excess() const {
+    // A token bucket that admits every recorded request without going below zero bounds every window at once.
+    double level = this->total.burst;
+    double last = this->admissions.empty() ? 0 : this->admissions.front();
+    double worst = -this->total.burst;
+    for (double const at : this->admissions) {
+        level = std::min(this->total.burst, level + this->total.rate * (at - last) / 1000);
+        level -= 1;
+        last = at;
+        worst = std::max(worst, -level);
+    }
+    return worst;
+}
+
+bool rate_simulation::all_settled() const {
+    return std::ranges::all_of(this->hosts, [this](simulated_host const& host) {
+        return !host.running || host.authority->members().is_settled(this->now);
+    });
+}
+
+} // namespace caraway::tests
--- /dev/null
+++ b/tests/membership/rate_simulation.hpp
@@ -0,0 +1,103 @@
+/// Several rate_authority objects joined by a network that loses, doubles and delays, under a lagging host list.
+#pragma once
+
+#include "membership/rate_authority.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace caraway::tests {
+
+inline constexpr double step_ms = 5;
+inline char const* const tested_organisation = "org";
+
+/// How unkind the network and the list are.
+struct simulation_faults {
+    double loss{0};
+    double doubling{0};
+    double lateness{0}; ///< Part of the messages that come up to three seconds late.
+    double greatest_list_lag_ms{50};
+};
+
+enum class simulation_action : std::uint8_t {
+    restart,
+    pause,
+    wake,
+    join,
+    kill_and_unlist,
+    leave,
+    cut,
+    heal,
+    unlist_paused,
+    spike_and_pause, ///< A host borrows a lot, and stops before it can spend it.
+};
+
+inline constexpr int simulation_action_count = 10;
+
+class rate_simulation {
+public:
+    rate_simulation(int domains, int hosts_per_domain, rate_terms total, simulation_faults wanted, std::uint64_t seed);
+
+    void act(simulation_action action, std::uint64_t choice);
+    /// Runs on; each step every running host gets requests with the mean `requests_per_second` in all.
+    void run(double span_ms, double requests_per_second, int only_host = -1);
+
+    /// By how many requests any window was exceeded; 0 or less keeps the promise.
+    double excess() const;
+    std::size_t admitted() const { return this->admissions.size(); }
+    std::size_t refused() const { return this->refusals; }
+    double now_ms() const { return this->now.milliseconds; }
+    bool all_settled() const;
+
+private:
+    struct simulated_host {
+        std::string name;
+        std::string domain;
+        std::unique_ptr<rate_authority> authority;
+        std::uint64_t incarnation{0};
+        bool running{false};
+        bool paused{false};
+        std::uint64_t list_revision{0};
+        std::vector<std::pair<std::string, rights_message>> inbox; ///< Waiting in the socket of a paused process.
+        std::size_t waiting{0};
+    };
+    struct flying_letter {
+        double at;
+        std::string from;
+        rights_letter letter;
+        bool operator<(flying_letter const& other) const { return this->at > other.at; }
+    };
+    struct list_version {
+        double published;
+        domain_hosts hosts;
+    };
+
+    void start(simulated_host& host);
+    void publish();
+    void step(double requests_per_step, int only_host);
+    void send(simulated_host& host);
+    void offer(simulated_host& host, double count);
+    void take_list(simulated_host& host);
+    double uniform() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
+
+    rate_terms total;
+    int domain_count;
+    simulation_faults faults;
+    std::mt19937_64 random;
+    time_point now{10'000};
+    std::vector<simulated_host> hosts;
+    std::vector<list_version> lists;
+    domain_hosts listed;
+    std::priority_queue<flying_letter> flying;
+    std::string cut_domain;
+    std::vector<double> admissions;
+    std::size_t refusals{0};
+    std::uint64_t next_incarnation{1};
+};
+
+} // namespace caraway::tests
--- /dev/null
+++ b/tests/policy/concurrency_limiter_test.cpp
@@ -0,0 +1,48 @@
+/// The limit of a target: lower only where lower carries as much.
+
+#include "policy/concurrency_limiter.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace caraway;
+
+namespace {
+
+/// A target that works on `knee` requests at full speed and slows all of them down beyond; saturated for `span`.
+void saturate(concurrency_limiter& limiter, double base_ms, int knee, double span_ms, double& now) {
+    double const end = now + span_ms;
+    double credit = 0;
+    while (now < end) {
+        now += 1;
+        int const in_flight = limiter.limit();
+        double const crowd = std::max(1.0, static_cast<double>(in_flight) / knee);
+        // Switching between too many costs throughput as well.
+        double const service_ms = base_ms * crowd * (1 + 0.05 * (crowd - 1));
+        credit += in_flight / service_ms;
+        for (; credit >= 1; credit -= 1) {
+            limiter.note_completion({service_ms}, in_flight, {now});
+        }
+    }
+}
+
+} // namespace
+
+TEST_CASE("a target that is slow but not crowded keeps its slots") {
+    concurrency_limiter limiter(50);
+    double now = 1;
+    saturate(limiter, 10, 1000, 3000, now);
+    saturate(limiter, 50, 1000, 10'000, now);
+    CHECK(limiter.limit() >= 40);
+}
+
+TEST_CASE("a crowded target is relieved") {
+    concurrency_limiter limiter(100);
+    double now = 1;
+    // Seen uncrowded first, so that the floor is known.
+    for (int count = 0; count < 100; ++count) {
+        now += 5;
+        limiter.note_completion({10}, 1, {now});
+    }
+    saturate(limiter, 10, 20, 10'000, now);
+    CHECK(limiter.limit() <= 60);
+}
--- /dev/null
+++ b/tests/policy/retry_allowance_test.cpp
@@ -0,0 +1,82 @@
+/// Attempts over a whole call tree never exceed the first ones plus the allowance.
+
+#include "policy/retry_allowance.hpp"
+#include "support/property.hpp"
+
+#include <cstdint>
+#include <random>
+
+using namespace caraway;
+
+namespace {
+
+/// Calls `fan_out` services at each depth; each attempt fails with the given chance. Children of one parent run at
+/// the same time: all are handed their part before any gives back.
+struct call_tree {
+    std::mt19937_64 random;
+    int fan_out;
+    double failure;
+    double lost_answer;
+    int retries{0};
+
+    bool chance(double part) { return std::uniform_real_distribution<double>(0, 1)(this->random) < part; }
+
+    void visit(retry_allowance& own, int depth) {
+        if (depth == 0) {
+            return;
+        }
+        std::vector<int> handed;
+        for (int child = 0; child < this->fan_out; ++child) {
+            handed.push_back(own.hand_down());
+        }
+        for (int child = 0; child < this->fan_out; ++child) {
+            this->attempt(own, handed[static_cast<std::size_t>(child)], depth);
+        }
+    }
+
+    void attempt(retry_allowance& own, int handed, int depth) {
+        for (;;) {
+            retry_allowance below(handed);
+            this->visit(below, depth - 1);
+            if (!this->chance(this->lost_answer)) {
+                own.give_back(below.left(), handed);
+            }
+            if (!this->chance(this->failure) || !own.take()) {
+                return;
+            }
+            ++this->retries;
+            handed = own.hand_down();
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE("retries over the whole tree stay within the allowance") {
+    caraway::tests::check_property("allowance", [] {
+        int const allowance = *rc::gen::inRange(0, 6);
+        call_tree tree{std::mt19937_64(*rc::gen::arbitrary<std::uint64_t>()), *rc::gen::inRange(1, 4),
+                       *rc::gen::inRange(0, 100) / 100.0, *rc::gen::inRange(0, 50) / 100.0};
+        retry_allowance root(allowance);
+        tree.attempt(root, root.hand_down(), *rc::gen::inRange(1, 7));
+        RC_ASSERT(tree.retries <= allowance);
+    });
+}
+
+TEST_CASE("a claim for more than was handed down is cut") {
+    retry_allowance own(4);
+    int const handed = own.hand_down();
+    own.give_back(100, handed);
+    CHECK(own.left() == 4);
+}
+
+TEST_CASE("an organisation's retries are held to a tenth of its first attempts") {
+    retry_budget budget;
+    int granted = 0;
+    for (int round = 0; round < 1000; ++round) {
+        budget.note_first_attempt("org");
+        granted += budget.take("org") ? 1 : 0;
+    }
+    CHECK(granted <= 110);
+    CHECK(granted >= 100);
+}
--- /dev/null
+++ b/tests/policy/work_queue_test.cpp
@@ -0,0 +1,57 @@
+/// The order of the short queue, its bounds and its ages.
+
+#include "policy/work_queue.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace caraway;
+
+namespace {
+
+queued_work work(std::uint64_t id, std::uint8_t priority, std::string organisation, bool holds_work = false) {
+    return {.id = id,
+            .holds_work = holds_work,
+            .priority = priority,
+            .organisation = std::move(organisation),
+            .weight = 1,
+            .arrived = {0},
+            .deadline = {10'000}};
+}
+
+} // namespace
+
+TEST_CASE("work that others depend on comes first, then the class, then the organisation that got least") {
+    work_queue queue(10);
+    queue.push(work(1, 2, "a"));
+    queue.push(work(2, 0, "a"));
+    queue.push(work(3, 0, "a"));
+    queue.push(work(4, 0, "b"));
+    queue.push(work(5, 2, "c", true));
+    std::vector<std::uint64_t> late;
+    std::vector<std::uint64_t> order;
+    while (auto const id = queue.pop({1}, late)) {
+        order.push_back(id);
+    }
+    CHECK(order == std::vector<std::uint64_t>{5, 2, 4, 3, 1});
+}
+
+TEST_CASE("a full queue turns away the least important") {
+    work_queue queue(2);
+    CHECK(queue.push(work(1, 2, "a")) == 0);
+    CHECK(queue.push(work(2, 1, "a")) == 0);
+    CHECK(queue.push(work(3, 0, "a")) == 1);
+    CHECK(queue.push(work(4, 2, "b")) == 4);
+}
+
+TEST_CASE("old work and work past its deadline is handed out as late") {
+    work_queue queue(10);
+    queue.push(work(1, 0, "a"));
+    auto short_lived = work(2, 0, "b");
+    short_lived.deadline = {50};
+    queue.push(short_lived);
+    std::vector<std::uint64_t> late;
+    queue.expire({60}, late);
+    CHECK(late == std::vector<std::uint64_t>{2});
+    CHECK(queue.pop({5000}, late) == 0);
+    CHECK(late == std::vector<std::uint64_t>{2, 1});
+}
--- a/tests/support/property.hpp
+++ b/tests/support/property.hpp
@@ -11,8 +11,11 @@
 
 /// Runs the property; the seed is printed by RapidCheck when it fails.
 template<typename Property>
-void check_property(std::string const& description, Property&& property) {
-    ::setenv("RC_PARAMS", "seed=20261204", 0);
+void check_property(std::string const& description, Property&& property, int runs = 100) {
+    auto const parameters = "seed=20261204 max_success=" + std::to_string(runs);
+    // What the caller of the program has set goes first.
+    auto const* wanted = std::getenv("CARAWAY_RC_PARAMS");
+    ::setenv("RC_PARAMS", wanted == nullptr ? parameters.c_str() : wanted, 1);
     CHECK(rc::check(description, std::forward<Property>(property)));
 }
 
