--- a/libraries/base/bounded_ring.hpp
+++ b/libraries/base/bounded_ring.hpp
@@ -10,9 +10,10 @@
 
 namespace caraway {
 
-/// Many writers, one reader. A push never blocks: a full ring refuses, and the writer answers for the refusal.
-/// The wake-up runs on the writer's thread whenever the ring stops being empty; it must be cheap and thread-safe.
-template<typename T>
+/// Many writers, one reader. A push never blocks: a full ring refuses, and the writer answers for the
+/// refusal. The wake-up runs on the writer's thread whenever the ring stops being empty; it must be cheap and
+/// thread-safe.
+template <typename T>
 class bounded_ring {
 public:
     explicit bounded_ring(std::size_t capacity) : items(capacity), spare(capacity) {}
@@ -38,7 +39,7 @@
     }
 
     /// Moves everything out through `consume`; runs the calls outside the lock.
-    template<std::invocable<T&&> Consumer>
+    template <std::invocable<T&&> Consumer>
     std::size_t drain(Consumer&& consume) {
         {
             std::lock_guard const guard(this->mutex);
--- a/libraries/base/digest.cpp
+++ b/libraries/base/digest.cpp
@@ -14,7 +14,9 @@
 
 namespace {
 
-unsigned char const* as_unsigned(std::string_view text) { return reinterpret_cast<unsigned char const*>(text.data()); }
+unsigned char const* as_unsigned(std::string_view text) {
+    return reinterpret_cast<unsigned char const*>(text.data());
+}
 
 int digit_value(char digit) {
     if (digit >= '0' && digit <= '9') {
@@ -42,8 +44,8 @@
 std::string authenticate(std::string_view secret, std::string_view text) {
     std::array<unsigned char, EVP_MAX_MD_SIZE> bytes{};
     unsigned int size = 0;
-    HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()), as_unsigned(text), text.size(), bytes.data(),
-         &size);
+    HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()), as_unsigned(text), text.size(),
+         bytes.data(), &size);
     return {reinterpret_cast<char const*>(bytes.data()), size};
 }
 
--- a/libraries/base/header_field.hpp
+++ b/libraries/base/header_field.hpp
@@ -11,7 +11,7 @@
     std::string value;
 
     /// Lists the fields once for every codec.
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->name, this->value);
     }
--- a/libraries/base/problem.cpp
+++ b/libraries/base/problem.cpp
@@ -12,7 +12,8 @@
         }
         text += ": ";
     }
-    text += std::string(entry.name) + " (" + std::to_string(static_cast<int>(entry.code)) + "): " + value.message;
+    text +=
+        std::string(entry.name) + " (" + std::to_string(static_cast<int>(entry.code)) + "): " + value.message;
     text += " " + std::string(entry.remedy);
     return text;
 }
--- a/libraries/base/problem.hpp
+++ b/libraries/base/problem.hpp
@@ -17,21 +17,25 @@
     int line{0};      ///< From 1; 0 when unknown.
 };
 
-template<typename T>
+template <typename T>
 using result = boost::leaf::result<T>;
 
 /// Starts an error that carries `value`.
-inline auto fail(problem value) { return boost::leaf::new_error(std::move(value)); }
+inline auto fail(problem value) {
+    return boost::leaf::new_error(std::move(value));
+}
 
 /// One line: "file:line: name (number): message. remedy".
 std::string to_text(problem const& value);
 
 /// Runs `attempt`, which returns a result; gives its value, or passes the problem to `handle` and gives that.
-template<typename Attempt, typename Handle>
+template <typename Attempt, typename Handle>
 auto attempt_or(Attempt&& attempt, Handle&& handle) {
     return boost::leaf::try_handle_all(
         std::forward<Attempt>(attempt), [&](problem const& value) { return handle(value); },
-        [&] { return handle(problem{result_code::io_failed, "an error without a description"}); });
+        [&] {
+            return handle(problem{result_code::io_failed, "an error without a description"});
+        });
 }
 
 } // namespace caraway
--- a/libraries/base/result_code.cpp
+++ b/libraries/base/result_code.cpp
@@ -22,9 +22,11 @@
      "Send well-formed HTTP/1.1 with one Content-Length."},
     {body_too_large, 413, "body_too_large", "The body is over the limit.", "Send a smaller body."},
     {header_too_large, 431, "header_too_large", "The header is over the limit.", "Send a smaller header."},
-    {ticket_required, 428, "ticket_required", "A non-idempotent request came without a ticket; it was not run.",
+    {ticket_required, 428, "ticket_required",
+     "A non-idempotent request came without a ticket; it was not run.",
      "Send it again with the ticket from this answer as Idempotency-Key."},
-    {ticket_invalid, 400, "ticket_invalid", "The ticket is damaged or belongs to another route or organisation.",
+    {ticket_invalid, 400, "ticket_invalid",
+     "The ticket is damaged or belongs to another route or organisation.",
      "Use the ticket unchanged, on the route it was given for."},
     {context_unknown, 403, "context_unknown", "The context token belongs to no live request.",
      "Pass on the token of the request being served; check whether its deadline is past."},
@@ -49,7 +51,8 @@
     {target_malformed, 502, "target_malformed", "The target's answer could not be read.",
      "Check the target's answer and the answer limit."},
     {peer_lost, 502, "peer_lost", "The executing host stopped answering.", "Resend with the same ticket."},
-    {leaving, 503, "leaving", "The host takes no new work because it is leaving.", "Send it through another node."},
+    {leaving, 503, "leaving", "The host takes no new work because it is leaving.",
+     "Send it through another node."},
     {not_ready, 503, "not_ready", "The node has no configuration in force yet.",
      "Wait until /ready answers 200; check peers and platform."},
     {incarnation_gone, 409, "incarnation_gone", "The host that the ticket names has restarted or left.",
@@ -79,8 +82,8 @@
      "Add the value that the message names."},
     {configuration_reference, 0, "configuration_reference", "The value names something that is not defined.",
      "Define it, or correct the name."},
-    {configuration_too_large, 0, "configuration_too_large", "A value is over the platform's bound of one megabyte.",
-     "Split the folder or remove entries."},
+    {configuration_too_large, 0, "configuration_too_large",
+     "A value is over the platform's bound of one megabyte.", "Split the folder or remove entries."},
     {configuration_unreadable, 0, "configuration_unreadable", "The file or folder can't be read.",
      "Check path and permissions."},
     {configuration_digest, 0, "configuration_digest", "A published value does not match its manifest.",
@@ -98,7 +101,9 @@
 
 } // namespace
 
-std::span<result_code_entry const> result_codes() { return table; }
+std::span<result_code_entry const> result_codes() {
+    return table;
+}
 
 result_code_entry const& describe(result_code code) {
     auto const* found = std::ranges::find(table, code, &result_code_entry::code);
--- a/libraries/config/bundle.cpp
+++ b/libraries/config/bundle.cpp
@@ -61,7 +61,8 @@
     std::map<std::string, std::string> values;
     for (std::size_t index = 0; index < buckets.size(); ++index) {
         auto const value_name = section + "." + std::to_string(index);
-        values[value_name] = to_text({{"section", QString::fromStdString(section)}, {"items", buckets[index]}});
+        values[value_name] =
+            to_text({{"section", QString::fromStdString(section)}, {"items", buckets[index]}});
     }
     return values;
 }
@@ -70,8 +71,8 @@
     QJsonParseError error{};
     auto const document = QJsonDocument::fromJson(QByteArray::fromStdString(text), &error);
     if (!document.isObject()) {
-        return fail({result_code::configuration_syntax, "'" + name + "' is not a JSON object: " +
-                                                            error.errorString().toStdString() + "."});
+        return fail({result_code::configuration_syntax,
+                     "'" + name + "' is not a JSON object: " + error.errorString().toStdString() + "."});
     }
     return document.object();
 }
@@ -85,7 +86,8 @@
     } else if (json.isString()) {
         value.value = json.toString().toStdString();
     } else {
-        return fail({result_code::configuration_wrong_type, "A value is neither number, boolean nor text.", place});
+        return fail(
+            {result_code::configuration_wrong_type, "A value is neither number, boolean nor text.", place});
     }
     return value;
 }
@@ -107,7 +109,9 @@
 
 } // namespace
 
-std::string value_digest(std::string const& text) { return sha256_hex(text).substr(0, digest_digits); }
+std::string value_digest(std::string const& text) {
+    return sha256_hex(text).substr(0, digest_digits);
+}
 
 result<bundle> make_bundle(item_set const& items, std::uint64_t revision) {
     BOOST_LEAF_CHECK(configuration::create(items, revision));
@@ -153,10 +157,12 @@
     for (auto const& [name, digest] : parsed.digests) {
         auto const value = published.values.find(name);
         if (value == published.values.end() || value_digest(value->second) != digest) {
-            return fail({result_code::configuration_digest, "The value '" + name + "' is missing or damaged."});
+            return fail(
+                {result_code::configuration_digest, "The value '" + name + "' is missing or damaged."});
         }
         if (value->second.size() > max_value_bytes) {
-            return fail({result_code::configuration_too_large, "The value '" + name + "' is over the bound."});
+            return fail(
+                {result_code::configuration_too_large, "The value '" + name + "' is over the bound."});
         }
         BOOST_LEAF_AUTO(object, parse_object(value->second, name));
         BOOST_LEAF_CHECK(read_items(object, name, items));
--- a/libraries/config/bundle.hpp
+++ b/libraries/config/bundle.hpp
@@ -23,8 +23,8 @@
     std::map<std::string, std::string> values;
 };
 
-/// Cuts the items into values. Every section is spread over buckets by a hash of the item's name, so that a change
-/// of one item changes one small value.
+/// Cuts the items into values. Every section is spread over buckets by a hash of the item's name, so that a
+/// change of one item changes one small value.
 result<bundle> make_bundle(item_set const& items, std::uint64_t revision);
 
 result<manifest> parse_manifest(std::string const& text);
--- a/libraries/config/configuration.cpp
+++ b/libraries/config/configuration.cpp
@@ -12,7 +12,8 @@
 
 constexpr double weight_tolerance = 1e-6;
 
-constexpr std::array<std::string_view, priority_class_count> priority_names{"critical", "normal", "background"};
+constexpr std::array<std::string_view, priority_class_count> priority_names{"critical", "normal",
+                                                                            "background"};
 
 constexpr std::array<std::string_view, 7> methods{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
 
@@ -41,7 +42,28 @@
 
 auto fail_at(result_code code, std::string message, field_map const& fields, std::string const& name) {
     auto const* place = find_field(fields, name);
-    return fail({code, std::move(message), place == nullptr ? "" : place->file, place == nullptr ? 0 : place->line});
+    return fail(
+        {code, std::move(message), place == nullptr ? "" : place->file, place == nullptr ? 0 : place->line});
+}
+
+/// Of two items that clash, the one that was read later is the mistake.
+bool is_later(field_map const& left, field_map const& right) {
+    auto const place = [](field_map const& fields) {
+        return fields.empty() ? std::pair<std::string, int>{}
+                              : std::pair(fields.begin()->second.file, fields.begin()->second.line);
+    };
+    return place(left) > place(right);
+}
+
+auto fail_duplicate(std::string const& section, item_map const& all, std::string const& left,
+                    std::string const& right, std::string const& what, std::string const& field_name) {
+    bool const left_is_later = is_later(all.at(left), all.at(right));
+    auto const& later = left_is_later ? left : right;
+    auto const& earlier = left_is_later ? right : left;
+    return fail_at(result_code::configuration_duplicate,
+                   "'" + section + "." + later + "' has the same " + what + " as '" + section + "." +
+                       earlier + "'.",
+                   all.at(later), field_name);
 }
 
 item_map const& section_of(item_set const& items, std::string const& section) {
@@ -64,9 +86,12 @@
 
 } // namespace
 
-std::string_view name_of(priority_class value) { return priority_names.at(static_cast<std::size_t>(value)); }
+std::string_view name_of(priority_class value) {
+    return priority_names.at(static_cast<std::size_t>(value));
+}
 
-result<std::shared_ptr<configuration const>> configuration::create(item_set const& items, std::uint64_t revision) {
+result<std::shared_ptr<configuration const>> configuration::create(item_set const& items,
+                                                                   std::uint64_t revision) {
     BOOST_LEAF_CHECK(check_required(folder_fields(), items));
     auto built = std::make_shared<configuration>();
     built->revision_number = revision;
@@ -93,17 +118,18 @@
         auto const owner = text_or(fields, "organisation", "");
         if (!is_hexadecimal(hash)) {
             return fail_at(result_code::configuration_out_of_bounds,
-                           "'keys." + name + ".sha256' must be lower-case hexadecimal digits.", fields, "sha256");
+                           "'keys." + name + ".sha256' must be lower-case hexadecimal digits.", fields,
+                           "sha256");
         }
         if (!this->organisation_table.contains(owner)) {
             return fail_at(result_code::configuration_reference,
-                           "'keys." + name + "' names the organisation '" + owner + "', which is not defined.", fields,
-                           "organisation");
+                           "'keys." + name + "' names the organisation '" + owner +
+                               "', which is not defined.",
+                           fields, "organisation");
         }
         auto const [other, inserted] = names.emplace(hash, name);
         if (!inserted) {
-            return fail_at(result_code::configuration_duplicate,
-                           "'keys." + name + "' has the same hash as 'keys." + other->second + "'.", fields, "sha256");
+            return fail_duplicate("keys", section_of(items, "keys"), name, other->second, "hash", "sha256");
         }
         this->key_table[hash] = owner;
     }
@@ -132,28 +158,31 @@
         auto const priority = priority_from(text_or(fields, "class", "normal"));
         if (!priority) {
             return fail_at(result_code::configuration_out_of_bounds,
-                           "'routes." + name + ".class' must be critical, normal or background.", fields, "class");
+                           "'routes." + name + ".class' must be critical, normal or background.", fields,
+                           "class");
         }
         entry.priority = *priority;
         if (std::ranges::find(methods, entry.method) == methods.end() || !entry.path.starts_with('/')) {
             return fail_at(result_code::configuration_out_of_bounds,
-                           "'routes." + name + "' needs an HTTP method in capitals and a path that begins with '/'.",
+                           "'routes." + name +
+                               "' needs an HTTP method in capitals and a path that begins with '/'.",
                            fields, "method");
         }
         if (!this->service_table.contains(entry.service)) {
             return fail_at(result_code::configuration_reference,
-                           "'routes." + name + "' names the service '" + entry.service + "', which is not defined.",
+                           "'routes." + name + "' names the service '" + entry.service +
+                               "', which is not defined.",
                            fields, "service");
         }
         auto const [other, inserted] = seen.emplace(std::pair{entry.method, entry.path}, name);
         if (!inserted) {
-            return fail_at(result_code::configuration_duplicate,
-                           "'routes." + name + "' has the same method and path as 'routes." + other->second + "'.",
-                           fields, "path");
+            return fail_duplicate("routes", section_of(items, "routes"), name, other->second,
+                                  "method and path", "path");
         }
         this->route_list.push_back(std::move(entry));
     }
-    std::ranges::stable_sort(this->route_list, std::greater{}, [](route const& entry) { return entry.path.size(); });
+    std::ranges::stable_sort(this->route_list, std::greater{},
+                             [](route const& entry) { return entry.path.size(); });
     return {};
 }
 
@@ -169,10 +198,11 @@
     }
     if (std::abs(total - 1) > weight_tolerance || previous_total > 1 + weight_tolerance) {
         auto const& domains = section_of(items, "failure_domains");
-        return fail_at(result_code::configuration_out_of_bounds,
-                       "The weights of all failure domains must sum to 1, the previous ones to at most 1; they sum to " +
-                           std::to_string(total) + " and " + std::to_string(previous_total) + ".",
-                       domains.empty() ? field_map{} : domains.begin()->second, "weight");
+        return fail_at(
+            result_code::configuration_out_of_bounds,
+            "The weights of all failure domains must sum to 1, the previous ones to at most 1; they sum to " +
+                std::to_string(total) + " and " + std::to_string(previous_total) + ".",
+            domains.empty() ? field_map{} : domains.begin()->second, "weight");
     }
     return {};
 }
--- a/libraries/config/configuration.hpp
+++ b/libraries/config/configuration.hpp
@@ -57,10 +57,14 @@
     static result<std::shared_ptr<configuration const>> create(item_set const& items, std::uint64_t revision);
 
     std::uint64_t revision() const { return this->revision_number; }
-    std::unordered_map<std::string, organisation> const& organisations() const { return this->organisation_table; }
+    std::unordered_map<std::string, organisation> const& organisations() const {
+        return this->organisation_table;
+    }
     std::unordered_map<std::string, service> const& services() const { return this->service_table; }
     std::vector<route> const& routes() const { return this->route_list; }
-    std::unordered_map<std::string, failure_domain> const& failure_domains() const { return this->domain_table; }
+    std::unordered_map<std::string, failure_domain> const& failure_domains() const {
+        return this->domain_table;
+    }
     std::size_t key_count() const { return this->key_table.size(); }
 
     /// The organisation that owns the key with this hash (64 hexadecimal digits); null when there is none.
--- a/libraries/config/item_set.cpp
+++ b/libraries/config/item_set.cpp
@@ -10,13 +10,17 @@
 
 namespace {
 
-int line_of(toml::node const& node) { return static_cast<int>(node.source().begin.line); }
+int line_of(toml::node const& node) {
+    return static_cast<int>(node.source().begin.line);
+}
 
 problem located(result_code code, std::string message, located_value const& place) {
     return {code, std::move(message), place.file, place.line};
 }
 
-value_type type_of(located_value const& value) { return static_cast<value_type>(value.value.index()); }
+value_type type_of(located_value const& value) {
+    return static_cast<value_type>(value.value.index());
+}
 
 std::string number_text(double number) {
     std::ostringstream stream;
@@ -47,8 +51,8 @@
     for (auto const& element : *list) {
         auto const text = element.value_exact<std::string>();
         if (!text) {
-            return fail(located(result_code::configuration_wrong_type, "'" + name + "' holds more than texts.",
-                                converted));
+            return fail(located(result_code::configuration_wrong_type,
+                                "'" + name + "' holds more than texts.", converted));
         }
         texts.push_back(*text);
     }
@@ -69,15 +73,16 @@
 
 result<void> read_section(std::string const& section, toml::node const& node, std::string const& file,
                           file_shape shape, std::span<field const> schema, item_set& items) {
-    bool const known = std::ranges::any_of(schema, [&](field const& entry) { return entry.section == section; });
+    bool const known =
+        std::ranges::any_of(schema, [&](field const& entry) { return entry.section == section; });
     if (!known) {
         return fail({result_code::configuration_unknown_name, "No section is named '" + section + "'.", file,
                      line_of(node)});
     }
     auto const* table = node.as_table();
     if (table == nullptr) {
-        return fail(
-            {result_code::configuration_wrong_type, "'" + section + "' must be a table.", file, line_of(node)});
+        return fail({result_code::configuration_wrong_type, "'" + section + "' must be a table.", file,
+                     line_of(node)});
     }
     if (shape == file_shape::plain_tables) {
         return read_fields(*table, file, section, schema, items[section][""]);
@@ -102,7 +107,8 @@
         schema, [&](field const& entry) { return entry.section == section && entry.name == name; });
     auto const full_name = "'" + section + "." + name + "'";
     if (found == schema.end()) {
-        return fail(located(result_code::configuration_unknown_name, "No setting is named " + full_name + ".", value));
+        return fail(located(result_code::configuration_unknown_name, "No setting is named " + full_name + ".",
+                            value));
     }
     if (type_of(value) != found->type) {
         return fail(located(result_code::configuration_wrong_type,
@@ -119,7 +125,8 @@
     if (!inside) {
         return fail(located(result_code::configuration_out_of_bounds,
                             full_name + " must be from " + number_text(found->low) + " to " +
-                                number_text(found->high) + (found->type == value_type::text ? " characters" : "") + ".",
+                                number_text(found->high) +
+                                (found->type == value_type::text ? " characters" : "") + ".",
                             value));
     }
     return {};
@@ -168,9 +175,8 @@
         return fail({result_code::configuration_unreadable, "The file can't be read.", path.string()});
     }
     if (content.str().size() > max_value_bytes) {
-        return fail({result_code::configuration_too_large, "The file is over " + std::to_string(max_value_bytes) +
-                                                               " bytes.",
-                     path.string()});
+        return fail({result_code::configuration_too_large,
+                     "The file is over " + std::to_string(max_value_bytes) + " bytes.", path.string()});
     }
     return read_text(content.str(), path.string(), shape, schema, items);
 }
@@ -187,7 +193,8 @@
         return fail({result_code::configuration_unreadable, error.message() + ".", folder.string()});
     }
     if (files.empty()) {
-        return fail({result_code::configuration_unreadable, "The folder holds no .toml file.", folder.string()});
+        return fail(
+            {result_code::configuration_unreadable, "The folder holds no .toml file.", folder.string()});
     }
     std::ranges::sort(files);
     item_set items;
--- a/libraries/config/schema.cpp
+++ b/libraries/config/schema.cpp
@@ -12,7 +12,8 @@
 constexpr double max_name = 200;
 
 constexpr auto folder_table = std::to_array<field>({
-    {"organisations", "rate", number, 0, max_rate, true, "requests/s", "Sustained rate over the whole fleet."},
+    {"organisations", "rate", number, 0, max_rate, true, "requests/s",
+     "Sustained rate over the whole fleet."},
     {"organisations", "burst", number, 1, max_rate, true, "requests", "Requests that may come at once."},
     {"organisations", "weight", number, 0.001, 1000, false, "", "Share under overload, against the others."},
     {"keys", "organisation", text, 1, max_name, true, "", "Whose key it is."},
@@ -25,7 +26,8 @@
     {"routes", "idempotent", boolean, 0, 0, true, "", "Whether running it twice does no harm."},
     {"routes", "open", boolean, 0, 0, false, "", "Whether it runs without a key."},
     {"routes", "class", text, 1, max_name, false, "", "Priority: critical, normal or background."},
-    {"routes", "retry_allowance", number, 0, 10, false, "attempts", "Further attempts for the whole call tree."},
+    {"routes", "retry_allowance", number, 0, 10, false, "attempts",
+     "Further attempts for the whole call tree."},
     {"routes", "deadline_ms", number, 1, 600'000, false, "ms", "Longest time a request may take."},
     {"failure_domains", "weight", number, 0, 1, true, "", "Part of every rate and burst; all sum to 1."},
     {"failure_domains", "previous_weight", number, 0, 1, false, "", "The weight before a change under way."},
@@ -42,27 +44,36 @@
     {"addresses", "target", text, 3, max_name, true, "IP:PORT", "The own target."},
     {"platform", "url", text, 8, 1000, true, "", "The platform's read-and-watch service."},
     {"link", "fleet_secret", text, 16, 1000, true, "", "Shared by all nodes; proves that a peer is one."},
-    {"link", "peers", text_list, 0, 1000, false, "HOST=DOMAIN=SERVICE=IP:PORT", "Peers known before the host list."},
+    {"link", "peers", text_list, 0, 1000, false, "HOST=DOMAIN=SERVICE=IP:PORT",
+     "Peers known before the host list."},
     {"limits", "max_body", number, 1024, 16'777'216, false, "bytes", "Largest body of a request or answer."},
-    {"limits", "max_header", number, 1024, 1'048'576, false, "bytes", "Largest header of a request or answer."},
+    {"limits", "max_header", number, 1024, 1'048'576, false, "bytes",
+     "Largest header of a request or answer."},
     {"limits", "max_connections", number, 1, 100'000, false, "connections", "Most open caller connections."},
     {"limits", "max_requests", number, 1, 1'000'000, false, "requests", "Most live requests on this node."},
-    {"limits", "idle_timeout_ms", number, 10, 3'600'000, false, "ms", "Idle or half-read connections are closed."},
+    {"limits", "idle_timeout_ms", number, 10, 3'600'000, false, "ms",
+     "Idle or half-read connections are closed."},
     {"control", "mode", text, 1, max_name, false, "", "full, or for experiments: off, per_host."},
     {"telemetry", "log_level", text, 1, max_name, false, "", "trace, debug, info, warn or error."},
-    {"telemetry", "span_file_descriptor", number, 0, 1023, false, "", "Spans as OTLP/JSON lines to this descriptor."},
+    {"telemetry", "span_file_descriptor", number, 0, 1023, false, "",
+     "Spans as OTLP/JSON lines to this descriptor."},
     {"telemetry", "span_url", text, 8, 1000, false, "", "Spans as OTLP/JSON by POST to this address."},
 });
 
 } // namespace
 
 std::string_view name_of(value_type type) {
-    static constexpr std::array<std::string_view, 4> names{"a number", "true or false", "a text", "a list of texts"};
+    static constexpr std::array<std::string_view, 4> names{"a number", "true or false", "a text",
+                                                           "a list of texts"};
     return names.at(static_cast<std::size_t>(type));
 }
 
-std::span<field const> folder_fields() { return folder_table; }
+std::span<field const> folder_fields() {
+    return folder_table;
+}
 
-std::span<field const> settings_fields() { return settings_table; }
+std::span<field const> settings_fields() {
+    return settings_table;
+}
 
 } // namespace caraway
--- a/libraries/config/settings.cpp
+++ b/libraries/config/settings.cpp
@@ -24,7 +24,7 @@
         return found == this->items.end() ? nullptr : find_field(found->second.at(""), name);
     }
 
-    template<typename T>
+    template <typename T>
     T get_or(std::string const& section, std::string const& name, T fallback) const {
         auto const* found = this->find(section, name);
         return found == nullptr ? fallback : std::get<T>(found->value);
@@ -71,19 +71,22 @@
     return check_required(settings_fields(), items);
 }
 
-template<std::size_t Count>
+template <std::size_t Count>
 result<std::size_t> choose(std::array<std::string_view, Count> const& names, std::string const& text,
                            std::string const& setting) {
     auto const* found = std::ranges::find(names, text);
     if (found == names.end()) {
-        return fail({result_code::configuration_out_of_bounds, "'" + setting + "' does not know '" + text + "'."});
+        return fail(
+            {result_code::configuration_out_of_bounds, "'" + setting + "' does not know '" + text + "'."});
     }
     return static_cast<std::size_t>(found - names.begin());
 }
 
 } // namespace
 
-std::string_view name_of(control_mode value) { return mode_names.at(static_cast<std::size_t>(value)); }
+std::string_view name_of(control_mode value) {
+    return mode_names.at(static_cast<std::size_t>(value));
+}
 
 result<endpoint> parse_endpoint(std::string const& text) {
     auto const colon = text.rfind(':');
@@ -133,12 +136,13 @@
     read.max_connections = bound("max_connections", read.max_connections);
     read.max_requests = bound("max_requests", read.max_requests);
     read.idle_timeout_ms = reader.get_or<double>("limits", "idle_timeout_ms", read.idle_timeout_ms);
-    BOOST_LEAF_AUTO(mode, choose(mode_names, reader.get_or<std::string>("control", "mode", "full"), "control.mode"));
+    BOOST_LEAF_AUTO(
+        mode, choose(mode_names, reader.get_or<std::string>("control", "mode", "full"), "control.mode"));
     read.mode = static_cast<control_mode>(mode);
     read.log_level = reader.get_or<std::string>("telemetry", "log_level", read.log_level);
     BOOST_LEAF_CHECK(choose(log_levels, read.log_level, "telemetry.log_level"));
-    read.span_file_descriptor =
-        static_cast<int>(reader.get_or<double>("telemetry", "span_file_descriptor", read.span_file_descriptor));
+    read.span_file_descriptor = static_cast<int>(
+        reader.get_or<double>("telemetry", "span_file_descriptor", read.span_file_descriptor));
     read.span_url = reader.get_or<std::string>("telemetry", "span_url", "");
     return read;
 }
--- a/libraries/http/door.cpp
+++ b/libraries/http/door.cpp
@@ -35,8 +35,8 @@
     }
     if (error) {
         return fail({result_code::io_failed, "The address " + this->options.address + ":" +
-                                                 std::to_string(this->options.port) + " can't be opened: " +
-                                                 error.message() + "."});
+                                                 std::to_string(this->options.port) +
+                                                 " can't be opened: " + error.message() + "."});
     }
     this->accept();
     this->worker = std::thread([this] { this->context.run(); });
--- a/libraries/http/door.hpp
+++ b/libraries/http/door.hpp
@@ -1,7 +1,7 @@
 /// The HTTP/1.1 server that callers, and the own target for its calls, connect to. By Boost.Beast.
 ///
-/// It runs on a thread of its own. One request of a connection is worked on at a time, so pipelined requests are
-/// answered in order. A caller's key leaves this class only as its hash.
+/// It runs on a thread of its own. One request of a connection is worked on at a time, so pipelined requests
+/// are answered in order. A caller's key leaves this class only as its hash.
 #pragma once
 
 #include "base/bounded_ring.hpp"
--- a/libraries/http/door_session.cpp
+++ b/libraries/http/door_session.cpp
@@ -72,7 +72,9 @@
     this->stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
 }
 
-door_session::~door_session() { --this->server.open_connections; }
+door_session::~door_session() {
+    --this->server.open_connections;
+}
 
 void door_session::read() {
     this->parser.emplace();
@@ -112,8 +114,9 @@
 }
 
 void door_session::refuse(boost::system::error_code error) {
-    bool const silent = error == http::error::end_of_stream || error == boost::asio::error::operation_aborted ||
-                        error == boost::beast::error::timeout || error.category() == boost::system::system_category();
+    bool const silent =
+        error == http::error::end_of_stream || error == boost::asio::error::operation_aborted ||
+        error == boost::beast::error::timeout || error.category() == boost::system::system_category();
     if (silent) {
         // The answer to this would have no reader, or the request never began.
         return;
@@ -190,7 +193,8 @@
                           }
                           if (!stay) {
                               boost::system::error_code ignored;
-                              self->stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+                              self->stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send,
+                                                             ignored);
                               return;
                           }
                           self->read();
--- a/libraries/http/header_rules.cpp
+++ b/libraries/http/header_rules.cpp
@@ -9,10 +9,29 @@
 
 namespace {
 
-constexpr auto private_names = std::to_array<std::string_view>(
-    {"Connection", "Keep-Alive", "Transfer-Encoding", "TE", "Trailer", "Upgrade", "Proxy-Authorization",
-     "Proxy-Authenticate", "Proxy-Connection", "Content-Length", "Host", "Expect", "Authorization", "Cookie",
-     "X-Api-Key", request_id, timeout, context, deadline, result_outcome, result_code, idempotency_key, traceparent});
+constexpr auto private_names = std::to_array<std::string_view>({"Connection",
+                                                                "Keep-Alive",
+                                                                "Transfer-Encoding",
+                                                                "TE",
+                                                                "Trailer",
+                                                                "Upgrade",
+                                                                "Proxy-Authorization",
+                                                                "Proxy-Authenticate",
+                                                                "Proxy-Connection",
+                                                                "Content-Length",
+                                                                "Host",
+                                                                "Expect",
+                                                                "Authorization",
+                                                                "Cookie",
+                                                                "X-Api-Key",
+                                                                request_id,
+                                                                timeout,
+                                                                context,
+                                                                deadline,
+                                                                result_outcome,
+                                                                result_code,
+                                                                idempotency_key,
+                                                                traceparent});
 
 } // namespace
 
--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -58,7 +58,8 @@
         this->connection->stream.async_connect(
             place, [self = this->shared_from_this()](boost::system::error_code error) {
                 if (error) {
-                    auto const code = self->was_cancelled ? result_code::cancelled : result_code::target_unreachable;
+                    auto const code =
+                        self->was_cancelled ? result_code::cancelled : result_code::target_unreachable;
                     return self->finish(outcome::not_run, code);
                 }
                 boost::system::error_code ignored;
@@ -76,7 +77,8 @@
 
 private:
     void arm() {
-        auto const limit = std::chrono::microseconds(static_cast<std::int64_t>(this->request.timeout_ms * 1000));
+        auto const limit =
+            std::chrono::microseconds(static_cast<std::int64_t>(this->request.timeout_ms * 1000));
         this->connection->stream.expires_after(limit);
     }
 
@@ -93,16 +95,17 @@
         message.body() = std::move(this->request.body);
         message.prepare_payload();
         this->outgoing = std::move(message);
-        http::async_write(this->connection->stream, this->outgoing,
-                          [self = this->shared_from_this()](boost::system::error_code error, std::size_t sent) {
-                              if (error && sent == 0 && !self->was_cancelled) {
-                                  return self->finish(outcome::not_run, result_code::target_unreachable);
-                              }
-                              if (error) {
-                                  return self->fail_after_send(error);
-                              }
-                              self->read();
-                          });
+        http::async_write(
+            this->connection->stream, this->outgoing,
+            [self = this->shared_from_this()](boost::system::error_code error, std::size_t sent) {
+                if (error && sent == 0 && !self->was_cancelled) {
+                    return self->finish(outcome::not_run, result_code::target_unreachable);
+                }
+                if (error) {
+                    return self->fail_after_send(error);
+                }
+                self->read();
+            });
     }
 
     void read() {
@@ -132,9 +135,9 @@
             return this->finish(outcome::ran, result_code::answer_dropped);
         }
         bool const cut = error == http::error::end_of_stream || error == http::error::partial_message ||
-                         error.category() == boost::system::system_category() ||
-                         error == asio::error::eof;
-        return this->finish(outcome::unknown, cut ? result_code::target_crashed : result_code::target_malformed);
+                         error.category() == boost::system::system_category() || error == asio::error::eof;
+        return this->finish(outcome::unknown,
+                            cut ? result_code::target_crashed : result_code::target_malformed);
     }
 
     void succeed() {
--- a/libraries/http/target_client.hpp
+++ b/libraries/http/target_client.hpp
@@ -1,7 +1,7 @@
 /// The HTTP/1.1 client of the own target: it sends every request exactly once. By Boost.Beast.
 ///
-/// It runs on a thread of its own and keeps connections for reuse. It never sends a request again by itself, and
-/// tells apart what was surely not run, what surely ran, and what may have run.
+/// It runs on a thread of its own and keeps connections for reuse. It never sends a request again by itself,
+/// and tells apart what was surely not run, what surely ran, and what may have run.
 #pragma once
 
 #include "base/bounded_ring.hpp"
--- a/libraries/link/codec.cpp
+++ b/libraries/link/codec.cpp
@@ -11,14 +11,14 @@
 
 namespace {
 
-template<typename T>
+template <typename T>
 struct is_array : std::false_type {};
-template<typename T, std::size_t Size>
+template <typename T, std::size_t Size>
 struct is_array<std::array<T, Size>> : std::true_type {};
 
-template<typename T>
+template <typename T>
 struct is_vector : std::false_type {};
-template<typename T>
+template <typename T>
 struct is_vector<std::vector<T>> : std::true_type {};
 
 /// Writes fields one after another; nested lists and structures are arrays.
@@ -32,13 +32,13 @@
     }
     void end() { this->stream.endArray(); }
 
-    template<typename... Fields>
+    template <typename... Fields>
     void operator()(Fields&... fields) {
         (this->write(fields), ...);
     }
 
 private:
-    template<typename T>
+    template <typename T>
     void write(T& value) {
         if constexpr (std::same_as<T, bool> || std::same_as<T, double>) {
             this->stream.append(value);
@@ -78,7 +78,7 @@
     }
     qint64 consumed() const { return this->stream.currentOffset(); }
 
-    template<typename... Fields>
+    template <typename... Fields>
     void operator()(Fields&... fields) {
         (this->read(fields), ...);
     }
@@ -88,7 +88,7 @@
 private:
     void reject() { this->valid = false; }
 
-    template<std::integral T>
+    template <std::integral T>
     void read_unsigned(T& value) {
         if (!this->stream.isUnsignedInteger() || !std::in_range<T>(this->stream.toUnsignedInteger())) {
             return this->reject();
@@ -97,7 +97,7 @@
         this->stream.next();
     }
 
-    template<typename T>
+    template <typename T>
     void read_enum(T& value) {
         std::underlying_type_t<T> number{};
         this->read_unsigned(number);
@@ -130,7 +130,7 @@
         }
     }
 
-    template<typename List>
+    template <typename List>
     void read_list(List& list) {
         bool const bounded = this->stream.isArray() && this->stream.isLengthKnown() &&
                              this->stream.length() <= max_list_length;
@@ -159,7 +159,7 @@
         }
     }
 
-    template<typename T>
+    template <typename T>
     void read(T& value) {
         if (!this->valid || this->stream.lastError() != QCborError::NoError) {
             return this->reject();
@@ -195,7 +195,7 @@
         }
     }
 
-    template<typename T>
+    template <typename T>
     void read_structure(T& value) {
         if (!this->enter()) {
             return this->reject();
@@ -210,7 +210,7 @@
     bool valid{true};
 };
 
-template<std::size_t Index = 0>
+template <std::size_t Index = 0>
 bool read_alternative(std::size_t type, cbor_reader& reader, message& value) {
     if constexpr (Index < std::variant_size_v<message>) {
         if (type != Index) {
@@ -247,7 +247,8 @@
     bool const whole = reader.is_valid() && read_alternative(type, reader, value) && reader.leave() &&
                        reader.consumed() == static_cast<qint64>(bytes.size());
     if (!whole) {
-        return fail({result_code::link_malformed, "The message of type " + std::to_string(type) + " does not fit."});
+        return fail(
+            {result_code::link_malformed, "The message of type " + std::to_string(type) + " does not fit."});
     }
     return value;
 }
--- a/libraries/link/handshake.cpp
+++ b/libraries/link/handshake.cpp
@@ -8,7 +8,9 @@
 
 constexpr std::size_t nonce_bytes = 16;
 
-auto refuse(std::string message) { return fail({result_code::link_unauthenticated, std::move(message)}); }
+auto refuse(std::string message) {
+    return fail({result_code::link_unauthenticated, std::move(message)});
+}
 
 } // namespace
 
@@ -27,8 +29,9 @@
     auto const& dialling = dials ? this->identity : this->peer_identity;
     auto const& accepting = dials ? this->peer_identity : this->identity;
     std::string text(purpose);
-    for (auto const& part : {dialling_nonce, accepting_nonce, dialling.host, std::to_string(dialling.incarnation),
-                             accepting.host, std::to_string(accepting.incarnation)}) {
+    for (auto const& part :
+         {dialling_nonce, accepting_nonce, dialling.host, std::to_string(dialling.incarnation),
+          accepting.host, std::to_string(accepting.incarnation)}) {
         text += '\n' + std::to_string(part.size()) + ':' + part;
     }
     return authenticate(this->secret, text);
--- a/libraries/link/link_connection.cpp
+++ b/libraries/link/link_connection.cpp
@@ -65,7 +65,9 @@
     nng_stream_dialer_dial(this->dialer, this->dial_aio);
 }
 
-void link_connection::start_accepted(nng_stream* accepted) { this->begin(accepted); }
+void link_connection::start_accepted(nng_stream* accepted) {
+    this->begin(accepted);
+}
 
 void link_connection::on_dialled(void* self) {
     auto* connection = static_cast<link_connection*>(self);
@@ -173,7 +175,9 @@
     return false;
 }
 
-bool link_connection::send(message const& content) { return this->open && this->enqueue(content); }
+bool link_connection::send(message const& content) {
+    return this->open && this->enqueue(content);
+}
 
 bool link_connection::enqueue(message const& content) {
     auto const bytes = encode(content);
--- a/libraries/link/link_connection.hpp
+++ b/libraries/link/link_connection.hpp
@@ -1,6 +1,7 @@
 /// One connection of the hub: framing, handshake and bounded outgoing bytes over an nng stream.
 #pragma once
 
+#include "base/clock.hpp"
 #include "link/link_hub.hpp"
 
 #include <nng/nng.h>
@@ -22,6 +23,8 @@
 
     bool send(message const& content);
     void close();
+    /// Whether it was opened long ago and has not yet proved who it is.
+    bool is_overdue(time_point now) const { return !this->open && now - this->born >= handshake_limit; }
 
 private:
     static void on_dialled(void* self);
@@ -39,8 +42,11 @@
     bool refuse(result_code code);
     void end();
 
+    static constexpr duration handshake_limit{3000};
+
     link_hub& hub;
     connection_id id;
+    time_point born{monotonic_clock::now()};
     handshake greeting;
     bool dialled;
     nng_stream_dialer* dialer{nullptr};
--- a/libraries/link/link_hub.cpp
+++ b/libraries/link/link_hub.cpp
@@ -6,6 +6,12 @@
 
 namespace caraway {
 
+namespace {
+
+constexpr duration overdue_check_interval{500};
+
+} // namespace
+
 /// Accepts one connection after another.
 struct link_listener {
     explicit link_listener(link_hub& owner) : hub(owner) { nng_aio_alloc(&this->aio, on_accepted, this); }
@@ -39,7 +45,8 @@
     nng_aio* aio{nullptr};
 };
 
-link_hub::link_hub(link_identity own_identity, std::string fleet_secret, std::size_t max_message, event_sink sink_function)
+link_hub::link_hub(link_identity own_identity, std::string fleet_secret, std::size_t max_message,
+                   event_sink sink_function)
     : identity(std::move(own_identity)), secret(std::move(fleet_secret)), max_frame(max_message),
       sink(std::move(sink_function)) {}
 
@@ -77,8 +84,8 @@
         error = nng_stream_listener_listen(started->listener);
     }
     if (error != 0) {
-        return fail({result_code::io_failed, "The link address " + address + " can't be opened: " +
-                                                 nng_strerror(error) + "."});
+        return fail({result_code::io_failed,
+                     "The link address " + address + " can't be opened: " + nng_strerror(error) + "."});
     }
     nng_stream_listener_accept(started->listener, started->aio);
     this->listener = std::move(started);
@@ -143,6 +150,27 @@
     }
     // The connections go outside the lock: their last callbacks may need it to finish.
     freed.clear();
+    this->close_overdue();
+}
+
+void link_hub::close_overdue() {
+    auto const now = monotonic_clock::now();
+    if (now < this->next_overdue_check) {
+        return;
+    }
+    this->next_overdue_check = now + overdue_check_interval;
+    std::vector<std::shared_ptr<link_connection>> overdue;
+    {
+        std::lock_guard const guard(this->mutex);
+        for (auto const& [id, connection] : this->connections) {
+            if (connection->is_overdue(now)) {
+                overdue.push_back(connection);
+            }
+        }
+    }
+    for (auto const& connection : overdue) {
+        connection->close();
+    }
 }
 
 std::size_t link_hub::connection_count() const {
--- a/libraries/link/link_hub.hpp
+++ b/libraries/link/link_hub.hpp
@@ -1,9 +1,11 @@
 /// All links of one node: a listener and the connections it accepted or dialled, over nng's TCP streams.
 ///
-/// nng's sockets are not used: REQ resends by itself, and the raw and bus sockets drop silently when a pipe is
-/// full (docs/design/links.md). A frame is four bytes of length, most significant first, and one CBOR message.
+/// nng's sockets are not used: REQ resends by itself, and the raw and bus sockets drop silently when a pipe
+/// is full (docs/design/links.md). A frame is four bytes of length, most significant first, and one CBOR
+/// message.
 #pragma once
 
+#include "base/clock.hpp"
 #include "base/problem.hpp"
 #include "link/link_event.hpp"
 
@@ -33,8 +35,8 @@
     /// Listens at "IP:PORT"; connections are dialled from the same IP number.
     result<void> listen(std::string const& address);
 
-    /// Starts a connection under a number of the caller's; `opened` or `closed` follows. Accepted connections have
-    /// numbers with the highest bit set.
+    /// Starts a connection under a number of the caller's; `opened` or `closed` follows. Accepted connections
+    /// have numbers with the highest bit set.
     void dial(connection_id id, std::string const& address);
 
     /// False when the connection is gone or its outgoing bound is reached; then nothing was sent.
@@ -42,7 +44,8 @@
 
     void close(connection_id id);
 
-    /// Frees connections that have ended; call it from time to time, never from the sink.
+    /// Frees connections that have ended and closes strangers that say nothing; call it from time to time,
+    /// never from the sink.
     void reap();
 
     std::size_t connection_count() const;
@@ -55,6 +58,7 @@
     void adopt(void* stream);
     bool report(link_event&& event) { return this->sink(std::move(event)); }
     void forget(connection_id id);
+    void close_overdue();
     std::shared_ptr<link_connection> find(connection_id id) const;
 
     link_identity identity;
@@ -69,6 +73,7 @@
     std::unordered_map<connection_id, std::shared_ptr<link_connection>> connections;
     std::vector<std::shared_ptr<link_connection>> ended;
     bool closing{false};
+    time_point next_overdue_check; ///< Of the thread that reaps.
 };
 
 } // namespace caraway
--- a/libraries/link/message.hpp
+++ b/libraries/link/message.hpp
@@ -22,7 +22,7 @@
     std::uint64_t incarnation{0};
     std::string nonce;
 
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->host, this->incarnation, this->nonce);
     }
@@ -35,7 +35,7 @@
     std::string nonce;
     std::string proof;
 
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->host, this->incarnation, this->nonce, this->proof);
     }
@@ -45,7 +45,7 @@
 struct proof_message {
     std::string proof;
 
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->proof);
     }
@@ -60,9 +60,10 @@
     bool leaving{false};
     bool serving{false};
 
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
-        visitor(this->incarnation, this->ticket_window, this->in_flight, this->limit, this->leaving, this->serving);
+        visitor(this->incarnation, this->ticket_window, this->in_flight, this->limit, this->leaving,
+                this->serving);
     }
     bool operator==(host_report const&) const = default;
 };
@@ -72,7 +73,7 @@
     std::uint64_t sequence{0};
     host_report report;
 
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->sequence, this->report);
     }
@@ -82,7 +83,7 @@
     std::uint64_t sequence{0};
     host_report report;
 
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->sequence, this->report);
     }
@@ -107,11 +108,11 @@
     std::string trace_id;            ///< 32 hexadecimal digits.
     std::string parent_span;         ///< 16 hexadecimal digits.
 
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->call_id, this->request_id, this->organisation, this->route, this->method, this->path,
-                this->headers, this->body, this->deadline_ms, this->priority, this->selection_hash, this->depth,
-                this->allowance, this->ticket, this->trace_id, this->parent_span);
+                this->headers, this->body, this->deadline_ms, this->priority, this->selection_hash,
+                this->depth, this->allowance, this->ticket, this->trace_id, this->parent_span);
     }
 };
 
@@ -120,7 +121,7 @@
     std::string service;
     std::array<double, 3> admitted{1, 1, 1};
 
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->service, this->admitted);
     }
@@ -140,7 +141,7 @@
     std::vector<admission_report> admissions;
     host_report report;
 
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->call_id, this->result, this->code, this->status, this->headers, this->body,
                 this->retry_after_ms, this->allowance_left, this->admissions, this->report);
@@ -151,7 +152,7 @@
 struct cancel_message {
     std::uint64_t call_id{0};
 
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->call_id);
     }
@@ -165,7 +166,7 @@
 struct document_version {
     std::uint64_t revision{0}; ///< 0 when the node holds none.
 
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->revision);
     }
@@ -178,7 +179,7 @@
     std::uint32_t deaths{0};
     double age_ms{0};
 
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->fingerprint, this->deaths, this->age_ms);
     }
@@ -192,7 +193,7 @@
     std::vector<suspect_report> suspects;
     bool wants_answer{false};
 
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->report, this->documents, this->suspects, this->wants_answer);
     }
@@ -204,7 +205,7 @@
     std::uint64_t revision{0};
     std::vector<std::string> names;
 
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->document, this->revision, this->names);
     }
@@ -214,7 +215,7 @@
     std::string name;
     std::string text;
 
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->name, this->text);
     }
@@ -226,15 +227,16 @@
     std::string manifest;
     std::vector<document_value> values;
 
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->document, this->revision, this->manifest, this->values);
     }
 };
 
 /// The position in the variant is the type number on the wire: append only.
-using message = std::variant<hello_message, challenge_message, proof_message, ping_message, pong_message,
-                             forward_message, answer_message, cancel_message, gossip_message, fetch_message,
-                             values_message, want_tokens_message, grant_message, count_me_message, counted_message>;
+using message =
+    std::variant<hello_message, challenge_message, proof_message, ping_message, pong_message, forward_message,
+                 answer_message, cancel_message, gossip_message, fetch_message, values_message,
+                 want_tokens_message, grant_message, count_me_message, counted_message>;
 
 } // namespace caraway
--- a/libraries/membership/counted_members.cpp
+++ b/libraries/membership/counted_members.cpp
@@ -72,7 +72,9 @@
     return known;
 }
 
-void counted_members::release(std::string const& name, time_point now) { this->remove(name, now); }
+void counted_members::release(std::string const& name, time_point now) {
+    this->remove(name, now);
+}
 
 std::vector<count_request> counted_members::due_requests(time_point now) {
     this->drop_lapsed(now);
@@ -92,7 +94,8 @@
         }
     }
     if (this->active && candidates.size() > renewals_at_once) {
-        std::ranges::sort(candidates, {}, [this](std::string const& name) { return this->counted.at(name).asked; });
+        std::ranges::sort(candidates, {},
+                          [this](std::string const& name) { return this->counted.at(name).asked; });
         candidates.resize(renewals_at_once);
     }
     for (auto const& name : candidates) {
@@ -185,7 +188,8 @@
 }
 
 bool counted_members::holds(time_point now) const {
-    return this->active && !this->left && this->self_listed && (this->is_only_member() || now < this->right_until);
+    return this->active && !this->left && this->self_listed &&
+           (this->is_only_member() || now < this->right_until);
 }
 
 bool counted_members::is_settled(time_point now) const {
--- a/libraries/membership/counted_members.hpp
+++ b/libraries/membership/counted_members.hpp
@@ -1,9 +1,9 @@
 /// Who may hold rights in a failure domain, without votes.
 ///
-/// Each host keeps a set of hosts that it counts. A host may act on rights only while every host it knows of in its
-/// domain counts it, and has confirmed so recently. So of two hosts that both may act, each counts the other, and
-/// both derive the same owner of every right by rendezvous. A host that the published list no longer holds is taken
-/// to be gone after `lapse_time`: the list may lag, but does not invent departures.
+/// Each host keeps a set of hosts that it counts. A host may act on rights only while every host it knows of
+/// in its domain counts it, and has confirmed so recently. So of two hosts that both may act, each counts the
+/// other, and both derive the same owner of every right by rendezvous. A host that the published list no
+/// longer holds is taken to be gone after `lapse_time`: the list may lag, but does not invent departures.
 #pragma once
 
 #include "base/clock.hpp"
@@ -19,11 +19,11 @@
 
 /// The time limits of rights; `lapse_time` must exceed the sum of the others.
 struct rights_timing {
-    duration ask_interval{400};   ///< Between two confirmations that a host asks for.
-    duration right_span{2000};    ///< From an ask until the right it confirmed ends.
-    duration loan_span{1000};     ///< From an ask until the loan it brought ends at the borrower.
-    duration margin{250};         ///< Added where two clocks are compared by span.
-    duration lapse_time{4000};    ///< From leaving the list until a host is no longer counted.
+    duration ask_interval{400}; ///< Between two confirmations that a host asks for.
+    duration right_span{2000};  ///< From an ask until the right it confirmed ends.
+    duration loan_span{1000};   ///< From an ask until the loan it brought ends at the borrower.
+    duration margin{250};       ///< Added where two clocks are compared by span.
+    duration lapse_time{4000};  ///< From leaving the list until a host is no longer counted.
 
     /// How long a new owner waits, so that what the former one lent has ended.
     duration hold_span() const { return this->loan_span + this->margin; }
@@ -110,7 +110,8 @@
     std::uint64_t epoch_number{0};
     bool self_listed{false};
     bool active{false};
-    bool kept_throughout{true}; ///< All confirmations since the join began said that this host was counted before.
+    bool kept_throughout{
+        true}; ///< All confirmations since the join began said that this host was counted before.
     bool left{false};
     time_point activated;
     time_point right_until;
--- a/libraries/membership/rate_authority.cpp
+++ b/libraries/membership/rate_authority.cpp
@@ -75,7 +75,8 @@
     return std::max(duration{0}, found->second.dry_until - now);
 }
 
-void rate_authority::borrow(std::string const& organisation, borrower& state, std::size_t waiting, time_point now) {
+void rate_authority::borrow(std::string const& organisation, borrower& state, std::size_t waiting,
+                            time_point now) {
     auto const wanted = state.wallet.shortage(now, waiting);
     if (wanted <= 0 || state.sequence != 0 || now < state.dry_until) {
         return;
@@ -87,7 +88,8 @@
     this->ask_next(organisation, state, wanted, now);
 }
 
-void rate_authority::ask_next(std::string const& organisation, borrower& state, token_amount wanted, time_point now) {
+void rate_authority::ask_next(std::string const& organisation, borrower& state, token_amount wanted,
+                              time_point now) {
     if (state.untried.empty()) {
         return this->end_round(state, now);
     }
@@ -210,8 +212,8 @@
     if (found != this->pools.end() && found->second.usable_from == usable_from) {
         return &found->second.pool;
     }
-    // A new term of ownership: what a former one held is void, and the pool counts as minting since this one began,
-    // not since the first request.
+    // A new term of ownership: what a former one held is void, and the pool counts as minting since this one
+    // began, not since the first request.
     owned_pool fresh{usable_from, rate_pool(usable_from)};
     fresh.pool.set_terms(term->second.rate, term->second.burst, usable_from);
     return &this->pools.insert_or_assign(organisation, std::move(fresh)).first->second.pool;
@@ -226,7 +228,8 @@
     if (state.sequence == 0 || state.sequence != grant.sequence || state.lender != from) {
         return;
     }
-    auto const expires = state.asked + duration{std::min(grant.valid_ms, this->timing.loan_span.milliseconds)};
+    auto const expires =
+        state.asked + duration{std::min(grant.valid_ms, this->timing.loan_span.milliseconds)};
     if (grant.amount > 0 && now < expires) {
         state.wallet.add(from, grant.loan, grant.amount, expires);
         state.supplied = true;
@@ -250,7 +253,8 @@
         return this->membership.release(from, now);
     }
     auto const theirs = ask.members_digest;
-    counted_message answer{.sequence = ask.sequence, .was_counted = this->membership.count(from, ask.incarnation, now)};
+    counted_message answer{.sequence = ask.sequence,
+                           .was_counted = this->membership.count(from, ask.incarnation, now)};
     if (theirs != this->membership.digest()) {
         answer.members = this->membership.members();
     }
@@ -281,9 +285,13 @@
     });
 }
 
-std::vector<rights_letter> rate_authority::take_letters() { return std::exchange(this->letters, {}); }
+std::vector<rights_letter> rate_authority::take_letters() {
+    return std::exchange(this->letters, {});
+}
 
-std::vector<std::string> rate_authority::take_supplied() { return std::exchange(this->supplied, {}); }
+std::vector<std::string> rate_authority::take_supplied() {
+    return std::exchange(this->supplied, {});
+}
 
 void rate_authority::leave(time_point now) {
     for (auto const& name : this->membership.leave()) {
--- a/libraries/membership/rate_authority.hpp
+++ b/libraries/membership/rate_authority.hpp
@@ -1,7 +1,7 @@
 /// Rate and burst of every organisation over the whole fleet, as one node sees and serves them.
 ///
-/// It joins the three parts: who owns which pool (counted_members), the pools this node owns (rate_pool) and what it
-/// has borrowed (rate_wallet). It holds no socket and no clock.
+/// It joins the three parts: who owns which pool (counted_members), the pools this node owns (rate_pool) and
+/// what it has borrowed (rate_wallet). It holds no socket and no clock.
 #pragma once
 
 #include "membership/counted_members.hpp"
@@ -27,14 +27,15 @@
 
 class rate_authority {
 public:
-    rate_authority(std::string own_host, std::string own_domain, std::uint64_t own_incarnation, rights_timing limits,
-                   time_point started);
+    rate_authority(std::string own_host, std::string own_domain, std::uint64_t own_incarnation,
+                   rights_timing limits, time_point started);
 
     /// Replaces all terms. A domain weight that shrinks shrinks pools at once.
     void configure(std::unordered_map<std::string, rate_terms> own_terms, time_point now);
     void update_hosts(domain_hosts listed, time_point now);
 
-    /// Spends one token of the organisation, or starts to borrow; `waiting` requests are parked for it already.
+    /// Spends one token of the organisation, or starts to borrow; `waiting` requests are parked for it
+    /// already.
     bool admit(std::string const& organisation, std::size_t waiting, time_point now);
 
     /// Spends one token for a request that is parked.
@@ -47,7 +48,8 @@
     /// Takes a message of another node.
     void receive(std::string const& from, rights_message const& content, time_point now);
 
-    /// Periodic work: confirmations, reports, borrowing. `waiting` gives the parked requests of an organisation.
+    /// Periodic work: confirmations, reports, borrowing. `waiting` gives the parked requests of an
+    /// organisation.
     void tick(time_point now, std::unordered_map<std::string, std::size_t> const& waiting);
 
     /// What is to be sent now.
@@ -102,7 +104,8 @@
     domain_hosts hosts;
     std::unordered_map<std::string, rate_terms> terms;
     std::unordered_map<std::string, owned_pool> pools;
-    std::unordered_map<std::string, std::vector<std::string>> remote_lenders; ///< Cleared with every host list.
+    std::unordered_map<std::string, std::vector<std::string>>
+        remote_lenders; ///< Cleared with every host list.
     std::unordered_map<std::string, borrower> borrowers;
     std::vector<rights_letter> letters;
     std::vector<std::string> supplied;
--- a/libraries/membership/rights_message.hpp
+++ b/libraries/membership/rights_message.hpp
@@ -1,4 +1,5 @@
-/// The messages by which rights are counted and lent. Amounts are in millionths of a request, spans in milliseconds.
+/// The messages by which rights are counted and lent. Amounts are in millionths of a request, spans in
+/// milliseconds.
 #pragma once
 
 #include "policy/rate_pool.hpp"
@@ -17,7 +18,7 @@
     std::uint64_t sequence{0};
     std::vector<loan_use> uses;
 
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->organisation, this->amount, this->sequence, this->uses);
     }
@@ -32,7 +33,7 @@
     double retry_ms{0}; ///< When there may be more; meaningful if less was granted than asked for.
     std::uint64_t sequence{0};
 
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->organisation, this->amount, this->loan, this->valid_ms, this->retry_ms, this->sequence);
     }
@@ -45,7 +46,7 @@
     std::uint64_t members_digest{0};
     bool gives_up{false}; ///< The sender holds no rights any more and need not be counted.
 
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->sequence, this->incarnation, this->members_digest, this->gives_up);
     }
@@ -57,7 +58,7 @@
     bool was_counted{false}; ///< This incarnation was counted before the ask.
     std::vector<std::string> members;
 
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->sequence, this->was_counted, this->members);
     }
--- a/libraries/node/core_event.hpp
+++ b/libraries/node/core_event.hpp
@@ -36,7 +36,7 @@
     node_phase phase{node_phase::starting};
 };
 
-using core_event = std::variant<door_request, hang_up_event, target_answer, link_event, platform_event, compiled_event,
-                                phase_event>;
+using core_event = std::variant<door_request, hang_up_event, target_answer, link_event, platform_event,
+                                compiled_event, phase_event>;
 
 } // namespace caraway
--- a/libraries/node/core_thread.cpp
+++ b/libraries/node/core_thread.cpp
@@ -27,7 +27,9 @@
     });
 }
 
-core_thread::~core_thread() { this->stop(); }
+core_thread::~core_thread() {
+    this->stop();
+}
 
 void core_thread::start() {
     this->worker = std::thread([this] { this->run(); });
@@ -41,11 +43,14 @@
     }
 }
 
-bool core_thread::push(core_event&& event) { return this->events.try_push(std::move(event)); }
+bool core_thread::push(core_event&& event) {
+    return this->events.try_push(std::move(event));
+}
 
 void core_thread::wait() {
     std::unique_lock lock(this->mutex);
-    this->woken.wait_for(lock, this->idle ? idle_wait : busy_wait, [this] { return this->pending || this->stopping; });
+    this->woken.wait_for(lock, this->idle ? idle_wait : busy_wait,
+                         [this] { return this->pending || this->stopping; });
     this->pending = false;
 }
 
@@ -54,7 +59,8 @@
     time_point next_publish;
     while (!this->stopping) {
         this->wait();
-        this->events.drain([this](core_event&& event) { this->core.handle(std::move(event), monotonic_clock::now()); });
+        this->events.drain(
+            [this](core_event&& event) { this->core.handle(std::move(event), monotonic_clock::now()); });
         auto const now = monotonic_clock::now();
         if (now >= next_tick) {
             next_tick = now + tick_interval;
--- a/libraries/node/document_spread.cpp
+++ b/libraries/node/document_spread.cpp
@@ -14,7 +14,8 @@
 /// One answer carries at least one value, and more up to this size.
 constexpr std::size_t values_bytes = 262'144;
 
-constexpr std::array<document_kind, document_kind_count> all_kinds{document_kind::configuration, document_kind::hosts};
+constexpr std::array<document_kind, document_kind_count> all_kinds{document_kind::configuration,
+                                                                   document_kind::hosts};
 
 } // namespace
 
@@ -78,8 +79,8 @@
     this->letters.push_back({from, std::move(answer)});
 }
 
-void document_spread::take_manifest(document_kind kind, document_state& document, values_message const& values,
-                                    time_point now) {
+void document_spread::take_manifest(document_kind kind, document_state& document,
+                                    values_message const& values, time_point now) {
     auto& fetch = *document.fetch;
     attempt_or(
         [&]() -> result<bool> {
@@ -98,7 +99,8 @@
             return true;
         },
         [&](problem const& cause) {
-            this->out.log(log_level::warn, "document_refused", {{"from", fetch.from}, {"reason", to_text(cause)}});
+            this->out.log(log_level::warn, "document_refused",
+                          {{"from", fetch.from}, {"reason", to_text(cause)}});
             document.fetch.reset();
             return false;
         });
@@ -119,7 +121,8 @@
     if (values.revision != document.fetch->revision) {
         // The other went on to a newer revision meanwhile.
         document.fetch->revision = values.revision;
-        this->letters.push_back({from, fetch_message{.document = values.document, .revision = values.revision}});
+        this->letters.push_back(
+            {from, fetch_message{.document = values.document, .revision = values.revision}});
         return;
     }
     for (auto const& value : values.values) {
@@ -196,14 +199,20 @@
     return versions;
 }
 
-std::uint64_t document_spread::revision(document_kind kind) const { return this->state(kind).revision; }
+std::uint64_t document_spread::revision(document_kind kind) const {
+    return this->state(kind).revision;
+}
 
 std::map<std::string, std::string> const& document_spread::values(document_kind kind) const {
     return this->state(kind).content.values;
 }
 
-std::vector<spread_letter> document_spread::take_letters() { return std::exchange(this->letters, {}); }
+std::vector<spread_letter> document_spread::take_letters() {
+    return std::exchange(this->letters, {});
+}
 
-bool document_spread::take_news() { return std::exchange(this->news, false); }
+bool document_spread::take_news() {
+    return std::exchange(this->news, false);
+}
 
 } // namespace caraway
--- a/libraries/node/document_spread.hpp
+++ b/libraries/node/document_spread.hpp
@@ -1,7 +1,8 @@
-/// How the configuration and the host list reach every node: gossip of revisions, and fetching of what is missing.
+/// How the configuration and the host list reach every node: gossip of revisions, and fetching of what is
+/// missing.
 ///
-/// A revision only goes up. Until a node has heard its peers, or found none within a bound, it takes nothing from the
-/// platform, so that a stale service can't take it back behind the fleet.
+/// A revision only goes up. Until a node has heard its peers, or found none within a bound, it takes nothing
+/// from the platform, so that a stale service can't take it back behind the fleet.
 #pragma once
 
 #include "base/clock.hpp"
@@ -64,16 +65,19 @@
         std::uint64_t checking_revision{0};
         std::uint64_t refused_revision{0};
         std::uint64_t heard_revision{0}; ///< In force at some peer; nothing older is taken from the platform.
-        std::optional<bundle> offered; ///< From the platform, not believed yet.
+        std::optional<bundle> offered;   ///< From the platform, not believed yet.
         std::optional<fetch_state> fetch;
     };
 
     document_state& state(document_kind kind) { return this->documents.at(static_cast<std::size_t>(kind)); }
-    document_state const& state(document_kind kind) const { return this->documents.at(static_cast<std::size_t>(kind)); }
+    document_state const& state(document_kind kind) const {
+        return this->documents.at(static_cast<std::size_t>(kind));
+    }
     void check(document_kind kind, std::uint64_t revision, bundle content);
     bool is_news(document_state const& document, std::uint64_t revision) const;
     void ask_for_missing(document_kind kind, document_state& document, time_point now);
-    void take_manifest(document_kind kind, document_state& document, values_message const& values, time_point now);
+    void take_manifest(document_kind kind, document_state& document, values_message const& values,
+                       time_point now);
 
     effects& out;
     time_point started;
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -16,7 +16,8 @@
 constexpr double queue_factor = 2.0;
 constexpr std::size_t least_queue = 8;
 constexpr double retry_after_ms = 500;
-/// The target gets this much longer than the caller, so that the answer that matters is the caller's deadline.
+/// The target gets this much longer than the caller, so that the answer that matters is the caller's
+/// deadline.
 constexpr double target_grace_ms = 50;
 
 constexpr std::size_t max_waiting_suspects = 64;
@@ -32,7 +33,9 @@
 executor::executor(node_context& shared, time_point started)
     : context(shared), limiter(1), queue(least_queue), tickets(started) {}
 
-int executor::limit() const { return this->context.is_controlled() ? this->limiter.limit() : this->slots; }
+int executor::limit() const {
+    return this->context.is_controlled() ? this->limiter.limit() : this->slots;
+}
 
 void executor::on_configuration() {
     auto const* own = this->context.configuration->find_service(this->context.options.service);
@@ -59,7 +62,8 @@
     return found == this->by_token.end() ? nullptr : this->find(found->second);
 }
 
-void executor::receive(std::string const& from, connection_id connection, forward_message&& request, time_point now) {
+void executor::receive(std::string const& from, connection_id connection, forward_message&& request,
+                       time_point now) {
     execution work{.id = this->next_id++, .request = std::move(request)};
     work.waiters.push_back({from, connection, work.request.call_id});
     work.arrived = now;
@@ -78,8 +82,8 @@
     if (this->executions.size() >= this->context.options.max_requests) {
         return this->refuse_unqueued(work, result_code::node_busy, outcome::not_run, now);
     }
-    work.fingerprint = quarantine::fingerprint_of(work.request.organisation, work.request.route, work.request.path,
-                                                  work.request.body);
+    work.fingerprint = quarantine::fingerprint_of(work.request.organisation, work.request.route,
+                                                  work.request.path, work.request.body);
     auto const verdict = this->context.suspects.judge(work.fingerprint, now);
     if (verdict == quarantine_verdict::refuse) {
         return this->refuse_unqueued(work, result_code::quarantined, outcome::not_run, now);
@@ -98,12 +102,14 @@
             return std::optional<ticket>(std::move(value));
         },
         [](problem const&) { return std::optional<ticket>{}; });
-    bool const bound = parsed && parsed->binding == ticket::binding_of(work.request.organisation, work.request.route);
+    bool const bound =
+        parsed && parsed->binding == ticket::binding_of(work.request.organisation, work.request.route);
     if (!bound) {
         this->refuse_unqueued(work, result_code::ticket_invalid, outcome::not_forwarded, now);
         return false;
     }
-    bool const own = parsed->host == this->context.options.host && parsed->incarnation == this->context.incarnation;
+    bool const own =
+        parsed->host == this->context.options.host && parsed->incarnation == this->context.incarnation;
     if (!own) {
         this->refuse_unqueued(work, result_code::incarnation_gone, outcome::unknown, now);
         return false;
@@ -154,8 +160,9 @@
                             .arrived = now,
                             .deadline = work.deadline};
     auto const entry = this->executions.emplace(id, std::move(work)).first;
-    auto const capacity = this->context.options.mode == control_mode::off ? this->context.options.max_requests
-                                                                          : static_cast<std::size_t>(this->limit());
+    auto const capacity = this->context.options.mode == control_mode::off
+                              ? this->context.options.max_requests
+                              : static_cast<std::size_t>(this->limit());
     if (entry->second.suspect) {
         this->waiting_suspects.push_back(id);
         return this->admit_next_suspect(now);
@@ -306,7 +313,9 @@
     work.children.clear();
 }
 
-std::vector<std::uint64_t> executor::take_orphans() { return std::exchange(this->orphans, {}); }
+std::vector<std::uint64_t> executor::take_orphans() {
+    return std::exchange(this->orphans, {});
+}
 
 void executor::on_target(target_answer&& answer, time_point now) {
     auto* work = this->find(answer.id);
--- a/libraries/node/executor.hpp
+++ b/libraries/node/executor.hpp
@@ -60,7 +60,8 @@
 public:
     executor(node_context& shared, time_point started);
 
-    void receive(std::string const& from, connection_id connection, forward_message&& request, time_point now);
+    void receive(std::string const& from, connection_id connection, forward_message&& request,
+                 time_point now);
     void cancel(std::string const& from, std::uint64_t call_id, time_point now);
     void on_target(target_answer&& answer, time_point now);
     void tick(time_point now);
@@ -114,7 +115,7 @@
     std::vector<std::uint64_t> orphans;
     std::uint64_t next_id{1};
     std::size_t running{0};
-    std::uint64_t running_suspect{0};            ///< 0 when none runs.
+    std::uint64_t running_suspect{0};           ///< 0 when none runs.
     std::deque<std::uint64_t> waiting_suspects; ///< One suspect runs at a time.
     time_point suspect_died;
     int slots{1};
--- a/libraries/node/host_list.cpp
+++ b/libraries/node/host_list.cpp
@@ -16,7 +16,9 @@
 constexpr std::size_t bucket_count = 64;
 constexpr std::size_t max_name = 200;
 
-QString text(std::string const& value) { return QString::fromStdString(value); }
+QString text(std::string const& value) {
+    return QString::fromStdString(value);
+}
 
 QJsonObject to_json(listed_host const& entry) {
     return {{"host", text(entry.host)},
@@ -33,10 +35,11 @@
                       .link = object.value("link").toString().toStdString(),
                       .leaving = object.value("state").toString() == "leaving"};
     BOOST_LEAF_CHECK(parse_endpoint(entry.link));
-    bool const named = !entry.host.empty() && entry.host.size() <= max_name && !entry.failure_domain.empty() &&
-                       !entry.service.empty();
+    bool const named = !entry.host.empty() && entry.host.size() <= max_name &&
+                       !entry.failure_domain.empty() && !entry.service.empty();
     if (!named) {
-        return fail({result_code::configuration_missing, "A listed host lacks its name, failure domain or service."});
+        return fail(
+            {result_code::configuration_missing, "A listed host lacks its name, failure domain or service."});
     }
     return entry;
 }
@@ -94,7 +97,8 @@
     for (auto const& [name, digest] : parsed.digests) {
         auto const value = published.values.find(name);
         if (value == published.values.end() || value_digest(value->second) != digest) {
-            return fail({result_code::configuration_digest, "The value '" + name + "' is missing or damaged."});
+            return fail(
+                {result_code::configuration_digest, "The value '" + name + "' is missing or damaged."});
         }
         auto const object = QJsonDocument::fromJson(QByteArray::fromStdString(value->second)).object();
         BOOST_LEAF_CHECK(read_hosts(object.value("hosts").toArray(), list.hosts));
--- a/libraries/node/lifecycle.cpp
+++ b/libraries/node/lifecycle.cpp
@@ -30,8 +30,12 @@
     return made;
 }
 
-void lifecycle::start() { this->machine->start(); }
+void lifecycle::start() {
+    this->machine->start();
+}
 
-void lifecycle::raise(std::string const& event) { this->machine->submitEvent(QString::fromStdString(event)); }
+void lifecycle::raise(std::string const& event) {
+    this->machine->submitEvent(QString::fromStdString(event));
+}
 
 } // namespace caraway
--- a/libraries/node/node_context.hpp
+++ b/libraries/node/node_context.hpp
@@ -32,7 +32,8 @@
           peers(options.host, options.failure_domain, out),
           rights(options.host, options.failure_domain, own_incarnation, limits, started) {}
 
-    /// Sends to a host; a message to this host itself is handled in the same round. False when there is no link.
+    /// Sends to a host; a message to this host itself is handled in the same round. False when there is no
+    /// link.
     bool deliver(std::string const& host, message content, time_point now, connection_id preferred = 0,
                  connection_id* used = nullptr) {
         if (host == this->options.host) {
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -19,11 +19,11 @@
 constexpr std::size_t platform_readers = 3;
 constexpr std::size_t max_told_suspects = 64;
 
-template<typename... Handlers>
+template <typename... Handlers>
 struct overloaded_handlers : Handlers... {
     using Handlers::operator()...;
 };
-template<typename... Handlers>
+template <typename... Handlers>
 overloaded_handlers(Handlers...) -> overloaded_handlers<Handlers...>;
 
 std::vector<listed_host> seeds_of(settings const& options) {
@@ -37,8 +37,8 @@
 } // namespace
 
 node_core::node_core(settings wanted, std::uint64_t incarnation, rights_timing limits, time_point started)
-    : context(std::move(wanted), incarnation, limits, started), local(context, started), origin(context, local),
-      spread(context.out, started), last_now(started) {
+    : context(std::move(wanted), incarnation, limits, started), local(context, started),
+      origin(context, local), spread(context.out, started), last_now(started) {
     this->context.report = [this] { return this->own_report(this->last_now); };
     // Seeds make links possible before any list was read; rights wait for the list itself.
     this->hosts = seeds_of(this->context.options);
@@ -50,7 +50,8 @@
             .ticket_window = this->local.ticket_window(now),
             .in_flight = static_cast<std::uint32_t>(this->local.in_flight() + this->local.queued()),
             .limit = static_cast<std::uint32_t>(this->local.limit()),
-            .leaving = this->context.phase == node_phase::draining || this->context.phase == node_phase::stopped,
+            .leaving =
+                this->context.phase == node_phase::draining || this->context.phase == node_phase::stopped,
             .serving = this->context.phase == node_phase::serving && this->context.configuration != nullptr};
 }
 
@@ -91,9 +92,9 @@
     case link_event_kind::refused:
         ++this->refused_peers;
         this->context.numbers.add("links_refused");
-        this->context.out.log(log_level::warn, "link_refused",
-                              {{"claimed_host", event.peer.host},
-                               {"code", std::string(describe(event.code).name)}});
+        this->context.out.log(
+            log_level::warn, "link_refused",
+            {{"claimed_host", event.peer.host}, {"code", std::string(describe(event.code).name)}});
         return;
     case link_event_kind::received:
         this->on_message({event.peer.host, event.connection, std::move(event.content)}, now);
@@ -103,26 +104,27 @@
 
 void node_core::on_message(addressed_message&& received, time_point now) {
     auto const& from = received.from;
-    std::visit(overloaded_handlers{
-                   [&](forward_message& request) {
-                       this->local.receive(from, received.connection, std::move(request), now);
-                   },
-                   [&](answer_message& answer) { this->origin.on_answer(from, std::move(answer), now); },
-                   [&](cancel_message& wish) { this->local.cancel(from, wish.call_id, now); },
-                   [&](ping_message& ping) {
-                       this->context.peers.on_ping(from, received.connection, ping, this->own_report(now), now);
-                   },
-                   [&](pong_message& pong) { this->context.peers.on_pong(from, received.connection, pong, now); },
-                   [&](gossip_message&) { this->on_gossip(received, now); },
-                   [&](fetch_message& fetch) { this->spread.on_fetch(from, fetch); },
-                   [&](values_message& values) { this->spread.on_values(from, values, now); },
-                   [&](want_tokens_message& want) { this->context.rights.receive(from, want, now); },
-                   [&](grant_message& grant) { this->context.rights.receive(from, grant, now); },
-                   [&](count_me_message& ask) { this->context.rights.receive(from, ask, now); },
-                   [&](counted_message& counted) { this->context.rights.receive(from, counted, now); },
-                   [&](auto&) { this->context.numbers.add("messages_unexpected"); },
-               },
-               received.content);
+    std::visit(
+        overloaded_handlers{
+            [&](forward_message& request) {
+                this->local.receive(from, received.connection, std::move(request), now);
+            },
+            [&](answer_message& answer) { this->origin.on_answer(from, std::move(answer), now); },
+            [&](cancel_message& wish) { this->local.cancel(from, wish.call_id, now); },
+            [&](ping_message& ping) {
+                this->context.peers.on_ping(from, received.connection, ping, this->own_report(now), now);
+            },
+            [&](pong_message& pong) { this->context.peers.on_pong(from, received.connection, pong, now); },
+            [&](gossip_message&) { this->on_gossip(received, now); },
+            [&](fetch_message& fetch) { this->spread.on_fetch(from, fetch); },
+            [&](values_message& values) { this->spread.on_values(from, values, now); },
+            [&](want_tokens_message& want) { this->context.rights.receive(from, want, now); },
+            [&](grant_message& grant) { this->context.rights.receive(from, grant, now); },
+            [&](count_me_message& ask) { this->context.rights.receive(from, ask, now); },
+            [&](counted_message& counted) { this->context.rights.receive(from, counted, now); },
+            [&](auto&) { this->context.numbers.add("messages_unexpected"); },
+        },
+        received.content);
 }
 
 void node_core::on_gossip(addressed_message const& received, time_point now) {
@@ -182,9 +184,9 @@
     }
     this->context.rights.update_hosts(std::move(listed), now);
     this->context.chooser.keep_only(this->context.peers.listed_hosts());
-    this->context.out.log(log_level::info, "host_list_in_force",
-                          {{"revision", std::to_string(list.revision)},
-                           {"hosts", std::to_string(this->hosts.size())}});
+    this->context.out.log(
+        log_level::info, "host_list_in_force",
+        {{"revision", std::to_string(list.revision)}, {"hosts", std::to_string(this->hosts.size())}});
 }
 
 void node_core::on_phase(node_phase phase, time_point now) {
@@ -200,9 +202,8 @@
 }
 
 void node_core::send_gossip(std::string const& host, bool wants_answer, time_point now) {
-    gossip_message content{.report = this->own_report(now),
-                           .documents = this->spread.versions(),
-                           .wants_answer = wants_answer};
+    gossip_message content{
+        .report = this->own_report(now), .documents = this->spread.versions(), .wants_answer = wants_answer};
     for (auto const& entry : this->context.suspects.suspects(now)) {
         if (content.suspects.size() < max_told_suspects) {
             content.suspects.push_back({entry.fingerprint, entry.deaths, (now - entry.since).milliseconds});
@@ -221,7 +222,8 @@
         return;
     }
     this->next_gossip = now + gossip_interval;
-    auto const count = urgent ? std::max(news_fanout, std::min<std::size_t>(open.size(), news_fanout * 4)) : 1;
+    auto const count =
+        urgent ? std::max(news_fanout, std::min<std::size_t>(open.size(), news_fanout * 4)) : 1;
     for (std::size_t index = 0; index < std::min(count, open.size()); ++index) {
         this->send_gossip(open[this->gossip_turn++ % open.size()], !urgent, now);
     }
@@ -279,7 +281,9 @@
     this->flush(now);
 }
 
-effects node_core::take_effects() { return std::exchange(this->context.out, {}); }
+effects node_core::take_effects() {
+    return std::exchange(this->context.out, {});
+}
 
 bool node_core::reads_platform() const {
     std::vector<std::string> names;
@@ -297,7 +301,9 @@
     return listed || !someone_reads || this->context.configuration == nullptr;
 }
 
-bool node_core::is_idle() const { return this->origin.live() == 0 && this->local.live() == 0; }
+bool node_core::is_idle() const {
+    return this->origin.live() == 0 && this->local.live() == 0;
+}
 
 bool node_core::is_ready() const {
     return this->context.configuration != nullptr && this->spread.revision(document_kind::hosts) > 0;
--- a/libraries/node/node_runtime.cpp
+++ b/libraries/node/node_runtime.cpp
@@ -34,7 +34,8 @@
                  .post = options.span_url.empty()
                              ? std::function<void(std::string)>{}
                              : [this](std::string text) { this->post_spans(std::move(text)); }}),
-      compiles(max_compiles), core(options, incarnation, [this](effects&& all) { this->carry_out(std::move(all)); }),
+      compiles(max_compiles),
+      core(options, incarnation, [this](effects&& all) { this->carry_out(std::move(all)); }),
       links({options.host, incarnation}, options.fleet_secret,
             std::max(least_message, options.max_body + message_overhead),
             [this](link_event&& event) { return this->core.push(std::move(event)); }),
@@ -42,9 +43,12 @@
               .port = options.target.port,
               .max_body = options.max_body,
               .max_header = options.max_header},
-             [this](target_answer&& answer) { [[maybe_unused]] bool const taken = this->core.push(std::move(answer)); }) {
+             [this](target_answer&& answer) {
+                 [[maybe_unused]] bool const taken = this->core.push(std::move(answer));
+             }) {
     this->compiles.set_wake([this] {
-        QMetaObject::invokeMethod(&this->control, [this] { this->compile_waiting(); }, Qt::QueuedConnection);
+        QMetaObject::invokeMethod(
+            &this->control, [this] { this->compile_waiting(); }, Qt::QueuedConnection);
     });
 }
 
@@ -76,7 +80,8 @@
 }
 
 result<void> node_runtime::start() {
-    BOOST_LEAF_ASSIGN(this->chart, lifecycle::create([this](std::string const& name) { this->on_state(name); }));
+    BOOST_LEAF_ASSIGN(this->chart,
+                      lifecycle::create([this](std::string const& name) { this->on_state(name); }));
     this->callers = this->make_door(this->options.callers, door_side::callers);
     this->egress = this->make_door(this->options.egress, door_side::egress);
     this->page = std::make_unique<operator_page>([this] { return this->core.status(); });
@@ -108,7 +113,8 @@
                 },
             .failure =
                 [this](std::string const& reason) {
-                    this->telemetry.take(log_entry{log_level::warn, "platform_unreachable", {{"reason", reason}}});
+                    this->telemetry.take(
+                        log_entry{log_level::warn, "platform_unreachable", {{"reason", reason}}});
                 }});
     this->platform->set_active(true);
     QObject::connect(&this->watch_timer, &QTimer::timeout, &this->control, [this] { this->watch_core(); });
@@ -198,7 +204,9 @@
         Qt::QueuedConnection);
 }
 
-void node_runtime::terminate() { this->chart->raise("terminate"); }
+void node_runtime::terminate() {
+    this->chart->raise("terminate");
+}
 
 void node_runtime::on_state(std::string const& name) {
     this->telemetry.take(log_entry{log_level::info, "phase", {{"name", name}}});
--- a/libraries/node/node_runtime.hpp
+++ b/libraries/node/node_runtime.hpp
@@ -1,7 +1,8 @@
-/// All threads of one node, joined: doors, target, links, telemetry, the deciding duty, and this control duty.
+/// All threads of one node, joined: doors, target, links, telemetry, the deciding duty, and this control
+/// duty.
 ///
-/// The control duty runs on the thread of the Qt event loop: the platform, the checks of documents, the operators'
-/// page and the state chart.
+/// The control duty runs on the thread of the Qt event loop: the platform, the checks of documents, the
+/// operators' page and the state chart.
 #pragma once
 
 #include "config/settings.hpp"
--- a/libraries/node/operator_page.cpp
+++ b/libraries/node/operator_page.cpp
@@ -21,20 +21,24 @@
     this->server->route("/health", [] { return plain("ok\n"); });
     this->server->route("/ready", [this] {
         bool const ready = this->status()->ready;
-        return plain(ready ? "ready\n" : "not ready\n", ready ? status_code::Ok : status_code::ServiceUnavailable);
+        return plain(ready ? "ready\n" : "not ready\n",
+                     ready ? status_code::Ok : status_code::ServiceUnavailable);
     });
     this->server->route("/metrics", [this] { return plain(this->status()->metrics_text); });
     this->server->route("/status", [this] {
-        return QHttpServerResponse("application/json", QByteArray::fromStdString(this->status()->status_json));
+        return QHttpServerResponse("application/json",
+                                   QByteArray::fromStdString(this->status()->status_json));
     });
 }
 
 operator_page::~operator_page() = default;
 
 result<void> operator_page::open(endpoint const& address) {
-    auto const port = this->server->listen(QHostAddress(QString::fromStdString(address.address)), address.port);
+    auto const port =
+        this->server->listen(QHostAddress(QString::fromStdString(address.address)), address.port);
     if (port == 0) {
-        return fail({result_code::io_failed, "The operators' address " + address.text() + " can't be opened."});
+        return fail(
+            {result_code::io_failed, "The operators' address " + address.text() + " can't be opened."});
     }
     return {};
 }
--- a/libraries/node/operator_page.hpp
+++ b/libraries/node/operator_page.hpp
@@ -1,7 +1,7 @@
 /// The operators' page: health, readiness, metrics and status, by Qt's HTTP server.
 ///
-/// Every handler answers at once from a published snapshot, so the server's weaknesses with parked answers do not
-/// show (docs/design/http.md).
+/// Every handler answers at once from a published snapshot, so the server's weaknesses with parked answers do
+/// not show (docs/design/http.md).
 #pragma once
 
 #include "base/problem.hpp"
--- a/libraries/node/originator.cpp
+++ b/libraries/node/originator.cpp
@@ -36,11 +36,12 @@
            answer.code == result_code::node_busy;
 }
 
-/// Whether another host may well take what this one refused. More of the same into an overloaded service helps
-/// nobody, so an overload refusal is passed on.
+/// Whether another host may well take what this one refused. More of the same into an overloaded service
+/// helps nobody, so an overload refusal is passed on.
 bool is_worth_another_host(result_code code) {
     return code == result_code::leaving || code == result_code::target_unreachable ||
-           code == result_code::node_busy || code == result_code::not_ready || code == result_code::queue_timeout;
+           code == result_code::node_busy || code == result_code::not_ready ||
+           code == result_code::queue_timeout;
 }
 
 } // namespace
@@ -52,7 +53,8 @@
 }
 
 void originator::answer_door(door_side side, door_answer&& answer) {
-    auto& answers = side == door_side::callers ? this->context.out.caller_answers : this->context.out.egress_answers;
+    auto& answers =
+        side == door_side::callers ? this->context.out.caller_answers : this->context.out.egress_answers;
     answers.push_back(std::move(answer));
 }
 
@@ -79,7 +81,8 @@
         return this->reject(request, result_code::route_unknown, now);
     }
     if (!request.context_token.empty()) {
-        auto* parent = request.side == door_side::egress ? this->local.find_by_token(request.context_token) : nullptr;
+        auto* parent =
+            request.side == door_side::egress ? this->local.find_by_token(request.context_token) : nullptr;
         if (parent == nullptr) {
             return this->reject(request, result_code::context_unknown, now);
         }
@@ -129,7 +132,8 @@
     this->admit(std::move(call), now);
 }
 
-void originator::begin_nested(door_request&& request, route const& matched, execution& parent, time_point now) {
+void originator::begin_nested(door_request&& request, route const& matched, execution& parent,
+                              time_point now) {
     if (parent.request.depth + 1 >= max_depth) {
         return this->reject(request, result_code::request_malformed, now);
     }
@@ -164,7 +168,8 @@
             return std::optional<ticket>(std::move(value));
         },
         [](problem const&) { return std::optional<ticket>{}; });
-    bool const bound = parsed && parsed->binding == ticket::binding_of(call.request.organisation, call.request.route);
+    bool const bound =
+        parsed && parsed->binding == ticket::binding_of(call.request.organisation, call.request.route);
     if (!bound) {
         this->refuse(call, {result_code::ticket_invalid}, now);
         return false;
@@ -179,8 +184,8 @@
     if (!host) {
         return std::nullopt;
     }
-    auto const report =
-        *host == this->context.options.host ? this->context.report() : this->context.peers.find(*host)->report;
+    auto const report = *host == this->context.options.host ? this->context.report()
+                                                            : this->context.peers.find(*host)->report;
     return ticket::create(*host, report.incarnation, report.ticket_window,
                           ticket::binding_of(call.request.organisation, call.request.route));
 }
@@ -190,7 +195,8 @@
     auto const shown = fresh ? code : result_code::no_target;
     auto const& entry = describe(shown);
     this->context.numbers.count_answer(result, shown);
-    door_answer answer{.id = call.door_id, .status = entry.http_status, .body = std::string(entry.name) + "\n"};
+    door_answer answer{
+        .id = call.door_id, .status = entry.http_status, .body = std::string(entry.name) + "\n"};
     answer.headers = {{std::string(header::result_outcome), std::string(name_of(result))},
                       {std::string(header::result_code), std::to_string(static_cast<int>(shown))},
                       {std::string(header::request_id), call.request.request_id}};
@@ -213,7 +219,8 @@
     auto const id = call.id;
     this->by_door[{call.side, call.door_id}] = id;
     auto& stored = this->calls.emplace(id, std::move(call)).first->second;
-    bool const limited = !stored.request.organisation.empty() && this->context.options.mode != control_mode::off;
+    bool const limited =
+        !stored.request.organisation.empty() && this->context.options.mode != control_mode::off;
     if (!limited) {
         return this->dispatch(stored, now);
     }
@@ -227,7 +234,8 @@
     if (this->context.rights.admit(stored.request.organisation, line.size(), now)) {
         return this->dispatch(stored, now);
     }
-    bool const hopeless = line.size() >= max_parked || this->context.rights.is_dry(stored.request.organisation, now);
+    bool const hopeless =
+        line.size() >= max_parked || this->context.rights.is_dry(stored.request.organisation, now);
     if (hopeless) {
         auto const wait = this->context.rights.dry_span(stored.request.organisation, now).milliseconds;
         return this->refuse(stored, {result_code::rate_exceeded, std::max(least_retry_after_ms, wait)}, now);
@@ -257,7 +265,8 @@
     for (auto& [organisation, line] : this->parked) {
         while (!line.empty()) {
             auto const found = this->calls.find(line.front());
-            bool const gone = found == this->calls.end() || found->second.stage != origin_call::state::waiting_for_rate;
+            bool const gone =
+                found == this->calls.end() || found->second.stage != origin_call::state::waiting_for_rate;
             if (gone) {
                 line.pop_front();
                 continue;
@@ -287,7 +296,8 @@
 
 std::optional<std::string> originator::choose_host(origin_call const& call, time_point now) {
     auto candidates = this->context.peers.candidates(call.service, now);
-    bool const own = call.service == this->context.options.service && this->context.phase == node_phase::serving;
+    bool const own =
+        call.service == this->context.options.service && this->context.phase == node_phase::serving;
     if (own) {
         auto const report = this->context.report();
         candidates.push_back({this->context.options.host, true, report.in_flight, report.limit, {0}});
@@ -315,7 +325,8 @@
     std::optional<std::string> host;
     if (call.right) {
         if (this->right_is_gone(call)) {
-            return this->finish(call, {.result = outcome::unknown, .code = result_code::incarnation_gone}, now);
+            return this->finish(call, {.result = outcome::unknown, .code = result_code::incarnation_gone},
+                                now);
         }
         host = call.right->host;
         this->context.peers.want(*host, now);
@@ -388,12 +399,13 @@
     this->context.chooser.note_sent(host, now);
 }
 
-void originator::learn(origin_call const& call, std::string const& from, answer_message const& answer, time_point now) {
+void originator::learn(origin_call const& call, std::string const& from, answer_message const& answer,
+                       time_point now) {
     this->context.peers.on_report(from, answer.report, now);
     auto* parent = call.parent == 0 ? nullptr : this->local.find(call.parent);
     for (auto const& report : answer.admissions) {
-        this->context.admissions.learn(call.request.route, report.service, call.request.organisation, report.admitted,
-                                       now);
+        this->context.admissions.learn(call.request.route, report.service, call.request.organisation,
+                                       report.admitted, now);
         if (parent == nullptr) {
             continue;
         }
@@ -499,7 +511,8 @@
     auto const& entry = describe(answer.code);
     this->context.numbers.count_answer(answer.result, answer.code);
     this->context.numbers.observe(timing::request, now - call.arrived);
-    bool const is_refused_root_ticket = !call.idempotent && call.parent == 0 && answer.result == outcome::not_run;
+    bool const is_refused_root_ticket =
+        !call.idempotent && call.parent == 0 && answer.result == outcome::not_run;
     door_answer reply{.id = call.door_id,
                       .status = answer.code == result_code::ok ? answer.status : entry.http_status,
                       .headers = std::move(answer.headers),
@@ -579,9 +592,10 @@
     auto& call = found->second;
     call.caller_gone = call.caller_gone || call.parent == 0;
     this->cancel_attempt(call, now);
-    this->finish(call,
-                 {.result = call.was_sent ? outcome::unknown : unsent_outcome(call), .code = result_code::cancelled},
-                 now);
+    this->finish(
+        call,
+        {.result = call.was_sent ? outcome::unknown : unsent_outcome(call), .code = result_code::cancelled},
+        now);
 }
 
 void originator::tick(time_point now) {
--- a/libraries/node/originator.hpp
+++ b/libraries/node/originator.hpp
@@ -1,4 +1,5 @@
-/// The first node's side: checks, admission, choice of the executing host, retries, and the answer to the caller.
+/// The first node's side: checks, admission, choice of the executing host, retries, and the answer to the
+/// caller.
 ///
 /// Calls of the own target come through here as well, on behalf of the request that it is serving.
 #pragma once
@@ -68,10 +69,12 @@
         double retry_after_ms{0};
     };
 
-    void begin_root(door_request&& request, route const& matched, std::string const& organisation, time_point now);
+    void begin_root(door_request&& request, route const& matched, std::string const& organisation,
+                    time_point now);
     void begin_nested(door_request&& request, route const& matched, execution& parent, time_point now);
     origin_call make_call(door_request&& request, route const& matched, time_point now);
-    /// Checks the ticket of a caller's non-idempotent request, or hands one out. False when the call is answered.
+    /// Checks the ticket of a caller's non-idempotent request, or hands one out. False when the call is
+    /// answered.
     bool check_ticket(origin_call& call, std::string const& text, time_point now);
     void hand_out_ticket(origin_call const& call, result_code code, outcome result, time_point now);
     std::optional<ticket> new_ticket(origin_call const& call, time_point now);
@@ -84,7 +87,8 @@
     void send_attempt(origin_call& call, std::string const& host, time_point now);
     bool may_retry(origin_call& call, answer_message const& answer);
     retry_allowance& allowance_of(origin_call& call);
-    void learn(origin_call const& call, std::string const& from, answer_message const& answer, time_point now);
+    void learn(origin_call const& call, std::string const& from, answer_message const& answer,
+               time_point now);
     void reject(door_request const& request, result_code code, time_point now);
     void refuse(origin_call& call, refusal why, time_point now);
     void finish(origin_call& call, answer_message&& answer, time_point now);
--- a/libraries/node/peer_table.cpp
+++ b/libraries/node/peer_table.cpp
@@ -36,8 +36,9 @@
     }
     std::set<std::string> chosen;
     for (auto const& [name, names] : by_domain) {
-        auto const count = hosts.size() <= full_mesh_hosts ? names.size()
-                                                           : (name == own_domain ? near_neighbours : far_neighbours);
+        auto const count = hosts.size() <= full_mesh_hosts
+                               ? names.size()
+                               : (name == own_domain ? near_neighbours : far_neighbours);
         for (auto& top : rendezvous_top(names, own_host, count)) {
             chosen.insert(std::move(top));
         }
@@ -130,7 +131,8 @@
     this->out.messages.push_back({connection, pong_message{ping_content.sequence, own_report}});
 }
 
-void peer_table::on_pong(std::string const& name, connection_id connection, pong_message const& pong, time_point now) {
+void peer_table::on_pong(std::string const& name, connection_id connection, pong_message const& pong,
+                         time_point now) {
     auto const peer = this->peers.find(name);
     if (peer == this->peers.end()) {
         return;
@@ -178,8 +180,8 @@
     this->out.messages.push_back({link.connection, ping_message{link.sequence, own_report}});
 }
 
-void peer_table::tend_links(std::string const& name, peer_state& peer, host_report const& own_report, time_point now,
-                            std::vector<connection_id>& silent) {
+void peer_table::tend_links(std::string const& name, peer_state& peer, host_report const& own_report,
+                            time_point now, std::vector<connection_id>& silent) {
     bool healthy = false;
     bool opening = false;
     auto const interval = now - peer.last_used < active_span ? active_ping_interval : idle_ping_interval;
--- a/libraries/node/peer_table.hpp
+++ b/libraries/node/peer_table.hpp
@@ -1,7 +1,7 @@
 /// The other hosts: their links, what they report of themselves, and whether their connections are alive.
 ///
-/// A connection is believed only as far as its last answered ping, reckoned from when the ping was sent. One that
-/// stays silent is replaced by a fresh one that was tried beside it.
+/// A connection is believed only as far as its last answered ping, reckoned from when the ping was sent. One
+/// that stays silent is replaced by a fresh one that was tried beside it.
 #pragma once
 
 #include "base/clock.hpp"
@@ -101,7 +101,8 @@
     std::uint64_t next_sequence{1};
 };
 
-/// The hosts that a node gossips with: all of a small fleet, else a few of its own domain and of each other one.
+/// The hosts that a node gossips with: all of a small fleet, else a few of its own domain and of each other
+/// one.
 std::set<std::string> choose_neighbours(std::string const& own_host, std::string const& own_domain,
                                         std::vector<listed_host> const& hosts);
 
--- a/libraries/node/status_report.cpp
+++ b/libraries/node/status_report.cpp
@@ -10,9 +10,13 @@
 
 namespace {
 
-QString text(std::string_view value) { return QString::fromUtf8(value.data(), static_cast<qsizetype>(value.size())); }
+QString text(std::string_view value) {
+    return QString::fromUtf8(value.data(), static_cast<qsizetype>(value.size()));
+}
 
-double number(std::uint64_t value) { return static_cast<double>(value); }
+double number(std::uint64_t value) {
+    return static_cast<double>(value);
+}
 
 QJsonArray peers_to_json(node_context const& context, time_point now) {
     QJsonArray rows;
--- a/libraries/platform/platform_reader.cpp
+++ b/libraries/platform/platform_reader.cpp
@@ -62,7 +62,8 @@
         return;
     }
     wanted.running = true;
-    this->get("/v1/watch/" + wanted.name + "?after=" + wanted.after + "&wait_ms=" + std::to_string(watch_wait_ms),
+    this->get("/v1/watch/" + wanted.name + "?after=" + wanted.after +
+                  "&wait_ms=" + std::to_string(watch_wait_ms),
               [this, &wanted](QNetworkReply& reply) { this->on_watched(wanted, reply); });
 }
 
--- a/libraries/platform/platform_reader.hpp
+++ b/libraries/platform/platform_reader.hpp
@@ -1,7 +1,7 @@
 /// Reads and watches the platform's configuration values and host list over HTTP, by Qt's network access.
 ///
-/// Only GET is sent, so that Qt's own resending does no harm. Each watch waits at the platform; a failure is tried
-/// again after a pause. Runs on the thread of the Qt event loop.
+/// Only GET is sent, so that Qt's own resending does no harm. Each watch waits at the platform; a failure is
+/// tried again after a pause. Runs on the thread of the Qt event loop.
 #pragma once
 
 #include "config/bundle.hpp"
@@ -58,7 +58,7 @@
     bool is_active{false};
     watch manifest_watch{"manifest"};
     watch hosts_watch{"hosts"};
-    bundle held;                       ///< The last whole bundle, for the values that did not change.
+    bundle held; ///< The last whole bundle, for the values that did not change.
     std::optional<bundle> gathering;
     std::vector<std::string> missing;
     std::uint64_t calls{0};
--- a/libraries/policy/admission_controller.cpp
+++ b/libraries/policy/admission_controller.cpp
@@ -22,13 +22,16 @@
 
 } // namespace
 
-void admission_controller::note_arrival(std::string const& organisation, std::size_t priority, double weight) {
+void admission_controller::note_arrival(std::string const& organisation, std::size_t priority,
+                                        double weight) {
     auto& state = this->organisations[organisation];
     state.weight = weight;
     ++state.classes.at(priority).arrivals;
 }
 
-void admission_controller::note_completion() { ++this->completions; }
+void admission_controller::note_completion() {
+    ++this->completions;
+}
 
 void admission_controller::note_backlog(bool waiting) {
     ++this->observations;
@@ -53,7 +56,8 @@
 void admission_controller::update_demand(double seconds) {
     for (auto& [name, state] : this->organisations) {
         for (auto& entry : state.classes) {
-            double const offered = static_cast<double>(entry.arrivals) / seconds / std::max(entry.part, least_part);
+            double const offered =
+                static_cast<double>(entry.arrivals) / seconds / std::max(entry.part, least_part);
             entry.demand += demand_smoothing * (offered - entry.demand);
             entry.arrivals = 0;
         }
@@ -66,11 +70,13 @@
 
 void admission_controller::update_capacity(double seconds) {
     double const carried = static_cast<double>(this->completions) / seconds;
-    bool const saturated = this->observations > 0 && static_cast<double>(this->backlog_observations) >=
-                                                         saturated_part * static_cast<double>(this->observations);
+    bool const saturated =
+        this->observations > 0 && static_cast<double>(this->backlog_observations) >=
+                                      saturated_part * static_cast<double>(this->observations);
     if (saturated) {
-        this->capacity =
-            this->limiting ? this->capacity + capacity_smoothing * (carried * probe_factor - this->capacity) : carried;
+        this->capacity = this->limiting
+                             ? this->capacity + capacity_smoothing * (carried * probe_factor - this->capacity)
+                             : carried;
         this->limiting = true;
     } else if (this->limiting) {
         this->capacity = std::max(this->capacity, carried) * opening_factor;
@@ -114,7 +120,8 @@
     for (auto const& entry : claims) {
         double const fair = std::max(0.0, remaining - used) * entry.weight / weights;
         double const given = std::min(entry.state->demand, fair);
-        entry.state->part = entry.state->demand > 0 ? std::clamp(given / entry.state->demand, least_part, 1.0) : 1.0;
+        entry.state->part =
+            entry.state->demand > 0 ? std::clamp(given / entry.state->demand, least_part, 1.0) : 1.0;
         used += given;
         weights -= entry.weight;
     }
--- a/libraries/policy/admission_controller.hpp
+++ b/libraries/policy/admission_controller.hpp
@@ -1,8 +1,8 @@
 /// What part of the offered requests an executing host can admit, by organisation and priority class.
 ///
-/// Capacity is what the target was seen to complete while work was waiting. It is given to the priority classes in
-/// their order, and within a class to the organisations by weighted max-min fairness. The resulting parts travel back
-/// on answers, so that first nodes refuse early what would be refused here.
+/// Capacity is what the target was seen to complete while work was waiting. It is given to the priority
+/// classes in their order, and within a class to the organisations by weighted max-min fairness. The
+/// resulting parts travel back on answers, so that first nodes refuse early what would be refused here.
 #pragma once
 
 #include "base/clock.hpp"
--- a/libraries/policy/admission_view.cpp
+++ b/libraries/policy/admission_view.cpp
@@ -14,7 +14,9 @@
 /// News this old says nothing any more.
 constexpr duration memory_span{10'000};
 
-std::string key_of(std::string const& route, std::string const& organisation) { return route + '\n' + organisation; }
+std::string key_of(std::string const& route, std::string const& organisation) {
+    return route + '\n' + organisation;
+}
 
 } // namespace
 
@@ -23,8 +25,8 @@
     return std::min(1.0, known.parts.at(priority) * std::exp2(age / opening_span));
 }
 
-void admission_view::learn(std::string const& route, std::string const& service, std::string const& organisation,
-                           admitted_parts const& parts, time_point now) {
+void admission_view::learn(std::string const& route, std::string const& service,
+                           std::string const& organisation, admitted_parts const& parts, time_point now) {
     auto& known = this->entries[key_of(route, organisation)][service];
     bool const fresh = now - known.learnt < opening_span;
     for (std::size_t priority = 0; priority < parts.size(); ++priority) {
@@ -35,8 +37,8 @@
     known.learnt = now;
 }
 
-double admission_view::admitted(std::string const& route, std::string const& organisation, std::size_t priority,
-                                time_point now) {
+double admission_view::admitted(std::string const& route, std::string const& organisation,
+                                std::size_t priority, time_point now) {
     auto const found = this->entries.find(key_of(route, organisation));
     if (found == this->entries.end()) {
         return 1;
@@ -48,8 +50,8 @@
     return least;
 }
 
-std::map<std::string, admitted_parts> admission_view::known(std::string const& route, std::string const& organisation,
-                                                            time_point now) const {
+std::map<std::string, admitted_parts>
+admission_view::known(std::string const& route, std::string const& organisation, time_point now) const {
     std::map<std::string, admitted_parts> result;
     auto const found = this->entries.find(key_of(route, organisation));
     if (found == this->entries.end()) {
@@ -67,8 +69,8 @@
 
 void admission_view::forget_old(time_point now) {
     std::erase_if(this->entries, [now](auto const& row) {
-        return std::ranges::all_of(row.second,
-                                   [now](auto const& entry) { return now - entry.second.learnt > memory_span; });
+        return std::ranges::all_of(
+            row.second, [now](auto const& entry) { return now - entry.second.learnt > memory_span; });
     });
 }
 
--- a/libraries/policy/admission_view.hpp
+++ b/libraries/policy/admission_view.hpp
@@ -18,7 +18,8 @@
                admitted_parts const& parts, time_point now);
 
     /// The least part that any service behind the route admits.
-    double admitted(std::string const& route, std::string const& organisation, std::size_t priority, time_point now);
+    double admitted(std::string const& route, std::string const& organisation, std::size_t priority,
+                    time_point now);
 
     /// What is known for the route and organisation, for passing on to the caller's node.
     std::map<std::string, admitted_parts> known(std::string const& route, std::string const& organisation,
--- a/libraries/policy/concurrency_limiter.cpp
+++ b/libraries/policy/concurrency_limiter.cpp
@@ -30,7 +30,9 @@
     this->current = was_at_top ? this->slots : std::min(this->current, this->slots);
 }
 
-int concurrency_limiter::limit() const { return std::max(1, static_cast<int>(std::lround(this->current))); }
+int concurrency_limiter::limit() const {
+    return std::max(1, static_cast<int>(std::lround(this->current)));
+}
 
 void concurrency_limiter::note_completion(duration service_time, int in_flight, time_point now) {
     this->samples.push_back(service_time.milliseconds);
--- a/libraries/policy/concurrency_limiter.hpp
+++ b/libraries/policy/concurrency_limiter.hpp
@@ -1,7 +1,8 @@
-/// How many requests the own target should run at once: climbs by what lower and higher limits were seen to carry.
+/// How many requests the own target should run at once: climbs by what lower and higher limits were seen to
+/// carry.
 ///
-/// Delay alone can't tell a slow target from a crowded one. So a lower limit is tried when the delay is well over its
-/// floor, and kept only if the target completes as much as before.
+/// Delay alone can't tell a slow target from a crowded one. So a lower limit is tried when the delay is well
+/// over its floor, and kept only if the target completes as much as before.
 #pragma once
 
 #include "base/clock.hpp"
--- a/libraries/policy/quarantine.cpp
+++ b/libraries/policy/quarantine.cpp
@@ -67,7 +67,8 @@
 }
 
 void quarantine::forget_old(time_point now) {
-    std::erase_if(this->entries, [now](auto const& entry) { return now - entry.second.since >= memory_span; });
+    std::erase_if(this->entries,
+                  [now](auto const& entry) { return now - entry.second.since >= memory_span; });
 }
 
 } // namespace caraway
--- a/libraries/policy/rate_pool.cpp
+++ b/libraries/policy/rate_pool.cpp
@@ -79,7 +79,8 @@
     if (instant <= this->minted_until) {
         return;
     }
-    double const minted = this->fraction + this->rate_per_second * (instant - this->minted_until).seconds() * 1e6;
+    double const minted =
+        this->fraction + this->rate_per_second * (instant - this->minted_until).seconds() * 1e6;
     this->minted_until = instant;
     auto const room = std::max<token_amount>(0, this->capacity - this->lent - this->stored);
     if (minted >= static_cast<double>(room)) {
--- a/libraries/policy/rate_pool.hpp
+++ b/libraries/policy/rate_pool.hpp
@@ -22,7 +22,7 @@
     token_amount spent{0};
     token_amount returned{0};
 
-    template<typename Visitor>
+    template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->loan, this->spent, this->returned);
     }
--- a/libraries/policy/rate_wallet.hpp
+++ b/libraries/policy/rate_wallet.hpp
@@ -26,7 +26,8 @@
 
     token_amount level(time_point now);
 
-    /// What to ask for now so that the coming demand is met, with `waiting` requests parked; 0 when enough is here.
+    /// What to ask for now so that the coming demand is met, with `waiting` requests parked; 0 when enough is
+    /// here.
     token_amount shortage(time_point now, std::size_t waiting);
 
     /// Reports that were not given before, and the return of what an idle wallet holds.
--- a/libraries/policy/rendezvous.cpp
+++ b/libraries/policy/rendezvous.cpp
@@ -20,9 +20,10 @@
                                         std::size_t count) {
     std::vector<std::string> sorted(candidates.begin(), candidates.end());
     auto const taken = static_cast<std::ptrdiff_t>(std::min(count, sorted.size()));
-    std::ranges::partial_sort(sorted, sorted.begin() + taken, [&](std::string const& left, std::string const& right) {
-        return rendezvous_prefers(left, right, subject);
-    });
+    std::ranges::partial_sort(sorted, sorted.begin() + taken,
+                              [&](std::string const& left, std::string const& right) {
+                                  return rendezvous_prefers(left, right, subject);
+                              });
     sorted.resize(static_cast<std::size_t>(taken));
     return sorted;
 }
--- a/libraries/policy/retry_allowance.hpp
+++ b/libraries/policy/retry_allowance.hpp
@@ -9,8 +9,8 @@
 
 namespace caraway {
 
-/// One node's part of a request's allowance. What is handed to a call below is not here until it comes back, so the
-/// parts of all nodes never sum to more than the first one.
+/// One node's part of a request's allowance. What is handed to a call below is not here until it comes back,
+/// so the parts of all nodes never sum to more than the first one.
 class retry_allowance {
 public:
     retry_allowance() = default;
--- a/libraries/policy/target_chooser.cpp
+++ b/libraries/policy/target_chooser.cpp
@@ -17,7 +17,8 @@
 constexpr double cold_penalty = 0.5;
 /// A report older than this says nothing of the load now.
 constexpr duration report_memory{1000};
-/// The own domain is kept to until its load exceeds the other's by this much: the link between domains costs time.
+/// The own domain is kept to until its load exceeds the other's by this much: the link between domains costs
+/// time.
 constexpr double spill_margin = 0.35;
 constexpr double spill_threshold = 0.85;
 constexpr double time_smoothing = 0.1;
@@ -30,12 +31,14 @@
         entry->second.first_used = now;
     }
     ++entry->second.outstanding;
-    if (entry->second.ejections > 0 && now >= entry->second.ejected_until && entry->second.failures_in_a_row > 0) {
+    if (entry->second.ejections > 0 && now >= entry->second.ejected_until &&
+        entry->second.failures_in_a_row > 0) {
         entry->second.probing = true;
     }
 }
 
-void target_chooser::note_answer(std::string const& host, duration taken, bool failed, bool refused, time_point now) {
+void target_chooser::note_answer(std::string const& host, duration taken, bool failed, bool refused,
+                                 time_point now) {
     auto& state = this->hosts[host];
     state.outstanding = std::max(0, state.outstanding - 1);
     bool const was_probe = std::exchange(state.probing, false);
@@ -121,8 +124,8 @@
     return in_flight / limit + refusal_cost * refusals + cold_penalty * (1 - warm);
 }
 
-candidate_host const* target_chooser::pick(std::vector<candidate_host const*> const& usable, std::uint64_t random,
-                                           time_point now) const {
+candidate_host const* target_chooser::pick(std::vector<candidate_host const*> const& usable,
+                                           std::uint64_t random, time_point now) const {
     if (usable.empty()) {
         return nullptr;
     }
@@ -133,8 +136,8 @@
     return keep_first ? usable[first] : usable[second];
 }
 
-std::optional<std::string> target_chooser::choose(std::vector<candidate_host> const& candidates, bool idempotent,
-                                                  std::uint64_t random, time_point now) {
+std::optional<std::string> target_chooser::choose(std::vector<candidate_host> const& candidates,
+                                                  bool idempotent, std::uint64_t random, time_point now) {
     std::vector<candidate_host const*> near;
     std::vector<candidate_host const*> far;
     for (auto const& candidate : candidates) {
--- a/libraries/policy/target_chooser.hpp
+++ b/libraries/policy/target_chooser.hpp
@@ -31,8 +31,8 @@
     /// A request sent there will get no answer.
     void note_abandoned(std::string const& host);
 
-    /// Chooses among the candidates; `random` supplies the two draws. An ejected host is only tried again with an
-    /// idempotent request. Empty when no candidate may be used.
+    /// Chooses among the candidates; `random` supplies the two draws. An ejected host is only tried again
+    /// with an idempotent request. Empty when no candidate may be used.
     std::optional<std::string> choose(std::vector<candidate_host> const& candidates, bool idempotent,
                                       std::uint64_t random, time_point now);
 
--- a/libraries/policy/ticket.cpp
+++ b/libraries/policy/ticket.cpp
@@ -38,7 +38,8 @@
     return fast_hash(route, fast_hash(organisation));
 }
 
-ticket ticket::create(std::string host, std::uint64_t incarnation, std::uint64_t window, std::uint64_t binding) {
+ticket ticket::create(std::string host, std::uint64_t incarnation, std::uint64_t window,
+                      std::uint64_t binding) {
     return {random_bytes(number_bytes), std::move(host), incarnation, window, binding};
 }
 
--- a/libraries/policy/ticket.hpp
+++ b/libraries/policy/ticket.hpp
@@ -18,7 +18,8 @@
     static std::uint64_t binding_of(std::string const& organisation, std::string const& route);
 
     /// A new ticket for a host whose incarnation and window are known.
-    static ticket create(std::string host, std::uint64_t incarnation, std::uint64_t window, std::uint64_t binding);
+    static ticket create(std::string host, std::uint64_t incarnation, std::uint64_t window,
+                         std::uint64_t binding);
 
     /// Hexadecimal digits that callers pass on unread; authenticated with the fleet secret.
     std::string to_text(std::string const& secret) const;
--- a/libraries/policy/ticket_store.hpp
+++ b/libraries/policy/ticket_store.hpp
@@ -22,7 +22,7 @@
 };
 
 /// `Answer` is what is kept of an answer; it has `size()` in bytes.
-template<typename Answer>
+template <typename Answer>
 class ticket_store {
 public:
     explicit ticket_store(time_point started) : window_start(started) {}
--- a/libraries/policy/work_queue.hpp
+++ b/libraries/policy/work_queue.hpp
@@ -27,8 +27,8 @@
     time_point deadline;
 };
 
-/// The order is: work that others depend on, then priority class, then the organisation that got least for its
-/// weight, then age.
+/// The order is: work that others depend on, then priority class, then the organisation that got least for
+/// its weight, then age.
 class work_queue {
 public:
     explicit work_queue(std::size_t most) : capacity(most) {}
@@ -38,7 +38,8 @@
     /// Adds the work; gives the id that had to yield, which may be its own, or 0 when there was room.
     std::uint64_t push(queued_work work);
 
-    /// The most important work that is still worth starting; 0 when there is none. Adds what is too late to `late`.
+    /// The most important work that is still worth starting; 0 when there is none. Adds what is too late to
+    /// `late`.
     std::uint64_t pop(time_point now, std::vector<std::uint64_t>& late);
 
     /// Moves out everything whose age limit or deadline has passed.
@@ -63,7 +64,8 @@
     std::size_t capacity;
     std::map<rank, queued_work> order;
     std::unordered_map<std::uint64_t, rank> ranks;
-    std::array<fair_share, queue_priorities> shares; ///< By priority: an organisation's background work must not delay its orders.
+    std::array<fair_share, queue_priorities>
+        shares; ///< By priority: an organisation's background work must not delay its orders.
     std::uint64_t next_arrival{0};
 };
 
--- a/libraries/telemetry/exporter.cpp
+++ b/libraries/telemetry/exporter.cpp
@@ -47,7 +47,9 @@
     }
 }
 
-void exporter::take(log_entry&& entry) { this->push(std::move(entry)); }
+void exporter::take(log_entry&& entry) {
+    this->push(std::move(entry));
+}
 
 void exporter::take(span&& value) {
     bool const wanted = this->options.file_descriptor >= 0 || this->options.post;
--- a/libraries/telemetry/log.cpp
+++ b/libraries/telemetry/log.cpp
@@ -15,9 +15,9 @@
 namespace {
 
 log4cxx::LevelPtr to_level(log_level level) {
-    static std::array<log4cxx::LevelPtr, 5> const levels{log4cxx::Level::getTrace(), log4cxx::Level::getDebug(),
-                                                         log4cxx::Level::getInfo(), log4cxx::Level::getWarn(),
-                                                         log4cxx::Level::getError()};
+    static std::array<log4cxx::LevelPtr, 5> const levels{
+        log4cxx::Level::getTrace(), log4cxx::Level::getDebug(), log4cxx::Level::getInfo(),
+        log4cxx::Level::getWarn(), log4cxx::Level::getError()};
     return levels.at(static_cast<std::size_t>(level));
 }
 
--- a/libraries/telemetry/metrics.cpp
+++ b/libraries/telemetry/metrics.cpp
@@ -19,14 +19,17 @@
 using log_axis = histogram::axis::regular<double, histogram::axis::transform::log>;
 using timing_histogram = decltype(histogram::make_histogram(log_axis(1, 1.0, 2.0)));
 
-timing_histogram make_timing() { return histogram::make_histogram(log_axis(bin_count, lowest_ms, highest_ms)); }
+timing_histogram make_timing() {
+    return histogram::make_histogram(log_axis(bin_count, lowest_ms, highest_ms));
+}
 
-void write_histogram(std::ostringstream& stream, std::string_view name, timing_histogram const& values, double sum) {
+void write_histogram(std::ostringstream& stream, std::string_view name, timing_histogram const& values,
+                     double sum) {
     double total = values.at(-1);
     for (int index = 0; index < static_cast<int>(bin_count); ++index) {
         total += values.at(index);
-        stream << "caraway_" << name << "_milliseconds_bucket{le=\"" << values.axis().bin(index).upper() << "\"} "
-               << total << '\n';
+        stream << "caraway_" << name << "_milliseconds_bucket{le=\"" << values.axis().bin(index).upper()
+               << "\"} " << total << '\n';
     }
     total += values.at(bin_count);
     stream << "caraway_" << name << "_milliseconds_bucket{le=\"+Inf\"} " << total << '\n';
@@ -45,11 +48,17 @@
 
 metrics::~metrics() = default;
 
-void metrics::count_answer(outcome result, result_code code) { ++this->answer_counts[{result, code}]; }
+void metrics::count_answer(outcome result, result_code code) {
+    ++this->answer_counts[{result, code}];
+}
 
-void metrics::add(std::string const& name, std::uint64_t amount) { this->counters[name] += amount; }
+void metrics::add(std::string const& name, std::uint64_t amount) {
+    this->counters[name] += amount;
+}
 
-void metrics::set(std::string const& name, double value) { this->gauges[name] = value; }
+void metrics::set(std::string const& name, double value) {
+    this->gauges[name] = value;
+}
 
 void metrics::observe(timing what, duration taken) {
     auto const index = static_cast<std::size_t>(what);
@@ -65,8 +74,8 @@
 std::string metrics::to_prometheus() const {
     std::ostringstream stream;
     for (auto const& [key, count] : this->answer_counts) {
-        stream << "caraway_answers_total{outcome=\"" << name_of(key.first) << "\",code=\"" << describe(key.second).name
-               << "\"} " << count << '\n';
+        stream << "caraway_answers_total{outcome=\"" << name_of(key.first) << "\",code=\""
+               << describe(key.second).name << "\"} " << count << '\n';
     }
     for (auto const& [name, count] : this->counters) {
         stream << "caraway_" << name << "_total " << count << '\n';
--- a/libraries/telemetry/metrics.hpp
+++ b/libraries/telemetry/metrics.hpp
@@ -33,7 +33,9 @@
     void observe(timing what, duration taken);
 
     std::uint64_t counter(std::string const& name) const;
-    std::map<std::pair<outcome, result_code>, std::uint64_t> const& answers() const { return this->answer_counts; }
+    std::map<std::pair<outcome, result_code>, std::uint64_t> const& answers() const {
+        return this->answer_counts;
+    }
 
     std::string to_prometheus() const;
 
--- a/libraries/telemetry/span.cpp
+++ b/libraries/telemetry/span.cpp
@@ -20,7 +20,9 @@
 constexpr std::size_t span_offset = 36;
 constexpr int otlp_status_error = 2;
 
-QString text(std::string const& value) { return QString::fromStdString(value); }
+QString text(std::string const& value) {
+    return QString::fromStdString(value);
+}
 
 QJsonObject attribute(std::string const& name, std::string const& value) {
     return {{"key", text(name)}, {"value", QJsonObject{{"stringValue", text(value)}}}};
@@ -51,19 +53,25 @@
     auto const is_digit = [](char digit) {
         return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f') || digit == '-';
     };
-    bool const well_formed = header.size() >= header_length && header.starts_with("00-") && header[35] == '-' &&
-                             header[52] == '-' && std::all_of(header.begin(), header.begin() + header_length, is_digit);
+    bool const well_formed = header.size() >= header_length && header.starts_with("00-") &&
+                             header[35] == '-' && header[52] == '-' &&
+                             std::all_of(header.begin(), header.begin() + header_length, is_digit);
     if (!well_formed) {
         return {to_hex(random_bytes(trace_digits / 2)), ""};
     }
     return {header.substr(trace_offset, trace_digits), header.substr(span_offset, span_digits)};
 }
 
-std::string trace_context::to_header() const { return "00-" + this->trace_id + "-" + this->span_id + "-01"; }
+std::string trace_context::to_header() const {
+    return "00-" + this->trace_id + "-" + this->span_id + "-01";
+}
 
-std::string trace_context::new_span_id() { return to_hex(random_bytes(span_digits / 2)); }
+std::string trace_context::new_span_id() {
+    return to_hex(random_bytes(span_digits / 2));
+}
 
-std::string spans_to_json(std::vector<span> const& spans, std::string const& service, std::string const& host) {
+std::string spans_to_json(std::vector<span> const& spans, std::string const& service,
+                          std::string const& host) {
     QJsonArray rows;
     for (auto const& value : spans) {
         rows.append(to_json(value));
--- a/libraries/telemetry/span.hpp
+++ b/libraries/telemetry/span.hpp
@@ -36,6 +36,7 @@
 };
 
 /// One OTLP/JSON export request for the spans of one service instance, on one line.
-std::string spans_to_json(std::vector<span> const& spans, std::string const& service, std::string const& host);
+std::string spans_to_json(std::vector<span> const& spans, std::string const& service,
+                          std::string const& host);
 
 } // namespace caraway
--- a/services/carawayd/main.cpp
+++ b/services/carawayd/main.cpp
@@ -49,8 +49,8 @@
     bool only_check = false;
     try {
         TCLAP::CmdLine line("Overload control for the target on this host. SIGTERM drains it.", ' ', "0.1.0");
-        TCLAP::ValueArg<std::string> settings_file("s", "settings", "The node's settings, a TOML file.", true, "",
-                                                   "FILE", line);
+        TCLAP::ValueArg<std::string> settings_file("s", "settings", "The node's settings, a TOML file.", true,
+                                                   "", "FILE", line);
         TCLAP::SwitchArg check("c", "check", "Check the settings and exit.", line);
         line.parse(argument_count, arguments);
         path = settings_file.getValue();
--- a/tests/demo/main.cpp
+++ b/tests/demo/main.cpp
@@ -1,4 +1,5 @@
-/// Shows the whole path on stand-ins: six nodes in two failure domains, three services deep, and the trace of one call.
+/// Shows the whole path on stand-ins: six nodes in two failure domains, three services deep, and the trace of
+/// one call.
 
 #include "standins/fleet.hpp"
 
@@ -47,8 +48,8 @@
 }
 
 void print(std::string const& title, client_answer const& answer) {
-    std::cout << title << ": HTTP " << answer.status << ", outcome " << answer.outcome() << ", code " << answer.code()
-              << "\n";
+    std::cout << title << ": HTTP " << answer.status << ", outcome " << answer.outcome() << ", code "
+              << answer.code() << "\n";
 }
 
 int show(fleet& system, std::string const& spans) {
@@ -77,7 +78,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     QCoreApplication const application(argument_count, arguments);
     bool const keeps_running = argument_count > 1 && std::string(arguments[1]) == "--stay";
-    auto const spans = (std::filesystem::temp_directory_path() / ("caraway-demo-" + std::to_string(::getpid()))).string();
+    auto const spans =
+        (std::filesystem::temp_directory_path() / ("caraway-demo-" + std::to_string(::getpid()))).string();
     std::filesystem::create_directory(spans);
     int code = 1;
     {
@@ -85,15 +87,16 @@
         if (system.wait_ready()) {
             std::cout << "Six nodes in two failure domains are ready. Callers' addresses:\n";
             for (std::size_t index = 0; index < system.size(); ++index) {
-                std::cout << "  " << system.node(index).host.name << "  http://" << system.node(index).ip << ":"
-                          << callers_port << "  (operators " << system.node(index).ip << ":" << operators_port << ")\n";
+                std::cout << "  " << system.node(index).host.name << "  http://" << system.node(index).ip
+                          << ":" << callers_port << "  (operators " << system.node(index).ip << ":"
+                          << operators_port << ")\n";
             }
             std::cout << '\n';
             code = show(system, spans);
             if (keeps_running) {
                 std::cout << "\nThe platform stand-in takes a bundle at http://"
-                          << system.node(0).ip.substr(0, system.node(0).ip.find('.', 4)) << ".0.1:" << platform_port
-                          << "/control/bundle (PUT). Press Enter to stop.\n";
+                          << system.node(0).ip.substr(0, system.node(0).ip.find('.', 4))
+                          << ".0.1:" << platform_port << "/control/bundle (PUT). Press Enter to stop.\n";
                 std::cin.get();
             }
         } else {
--- /dev/null
+++ b/tests/http/door_test.cpp
@@ -0,0 +1,220 @@
+/// The callers' door over real sockets: order, limits, hang-ups, and what it does with a key.
+
+#include "base/digest.hpp"
+#include "http/door.hpp"
+#include "standins/test_client.hpp"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <fstream>
+#include <mutex>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+using namespace caraway;
+using caraway::standins::client_answer;
+using caraway::standins::test_client;
+
+namespace {
+
+constexpr std::size_t max_body = 65'536;
+constexpr std::size_t max_header = 4096;
+
+std::uint16_t next_port() {
+    static std::uint16_t port = static_cast<std::uint16_t>(26'000 + ::getpid() % 5000);
+    return ++port;
+}
+
+/// A door whose requests wait until the test answers them.
+class open_door {
+public:
+    open_door() : port(next_port()), served(this->make_settings(), this->make_events()) {
+        attempt_or(
+            [&]() -> result<bool> {
+                BOOST_LEAF_CHECK(this->served.open());
+                return true;
+            },
+            [](problem const& cause) -> bool {
+                FAIL(to_text(cause));
+                return false;
+            });
+    }
+
+    bool wait_for_requests(std::size_t count) {
+        std::unique_lock lock(this->mutex);
+        return this->changed.wait_for(lock, std::chrono::seconds(10),
+                                      [&] { return this->requests.size() >= count; });
+    }
+    bool wait_for_hang_up() {
+        std::unique_lock lock(this->mutex);
+        return this->changed.wait_for(lock, std::chrono::seconds(10), [&] { return !this->gone.empty(); });
+    }
+    door_request request(std::size_t index) {
+        std::lock_guard const guard(this->mutex);
+        return this->requests.at(index);
+    }
+    std::size_t request_count() {
+        std::lock_guard const guard(this->mutex);
+        return this->requests.size();
+    }
+    void answer(std::size_t index, std::string body) {
+        this->served.answer({.id = this->request(index).id, .status = 200, .body = std::move(body)});
+    }
+
+    std::uint16_t port;
+
+private:
+    door_settings make_settings() const {
+        return {.address = "127.0.0.1",
+                .port = this->port,
+                .max_body = max_body,
+                .max_header = max_header,
+                .max_connections = 16,
+                .idle_timeout_ms = 2000};
+    }
+    door_events make_events() {
+        return {.request =
+                    [this](door_request&& request) {
+                        std::lock_guard const guard(this->mutex);
+                        this->requests.push_back(std::move(request));
+                        this->changed.notify_all();
+                        return true;
+                    },
+                .hang_up =
+                    [this](std::uint64_t id) {
+                        std::lock_guard const guard(this->mutex);
+                        this->gone.push_back(id);
+                        this->changed.notify_all();
+                    }};
+    }
+
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::vector<door_request> requests;
+    std::vector<std::uint64_t> gone;
+    door served;
+};
+
+std::size_t resident_kilobytes() {
+    std::ifstream status("/proc/self/status");
+    std::string word;
+    std::size_t size = 0;
+    while (status >> word) {
+        if (word == "VmRSS:") {
+            status >> size;
+        }
+    }
+    return size;
+}
+
+} // namespace
+
+TEST_CASE("pipelined requests are answered in order though the first is slow") {
+    open_door entry;
+    test_client client("127.0.0.1", entry.port);
+    REQUIRE(client.send_raw("GET /slow HTTP/1.1\r\nHost: x\r\n\r\nGET /fast HTTP/1.1\r\nHost: x\r\n\r\n"));
+    REQUIRE(entry.wait_for_requests(1));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    // The second one is not even begun while the first is open.
+    CHECK(entry.request_count() == 1);
+    entry.answer(0, "slow");
+    REQUIRE(entry.wait_for_requests(2));
+    entry.answer(1, "fast");
+    CHECK(client.read_answer().body == "slow");
+    CHECK(client.read_answer().body == "fast");
+}
+
+TEST_CASE("a caller that hangs up is noticed, and the late answer harms nobody") {
+    open_door entry;
+    test_client client("127.0.0.1", entry.port);
+    REQUIRE(client.send_raw("GET /a HTTP/1.1\r\nHost: x\r\n\r\n"));
+    REQUIRE(entry.wait_for_requests(1));
+    client.close();
+    CHECK(entry.wait_for_hang_up());
+    entry.answer(0, "late");
+    REQUIRE(client.send_raw("GET /b HTTP/1.1\r\nHost: x\r\n\r\n"));
+    REQUIRE(entry.wait_for_requests(2));
+    entry.answer(1, "b");
+    CHECK(client.read_answer().body == "b");
+}
+
+TEST_CASE("a key leaves the door only as its hash") {
+    open_door entry;
+    test_client client("127.0.0.1", entry.port);
+    REQUIRE(client.send_raw(
+        "GET /a HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret-key\r\nCookie: secret-key\r\n"
+        "X-Api-Key: secret-key\r\nAccept: text/plain\r\n\r\n"));
+    REQUIRE(entry.wait_for_requests(1));
+    auto const request = entry.request(0);
+    CHECK(request.key_sha256 == sha256_hex("secret-key"));
+    for (auto const& field : request.headers) {
+        CHECK(field.value != "secret-key");
+        CHECK(field.name == "Accept");
+    }
+    entry.answer(0, "");
+    client.read_answer();
+}
+
+TEST_CASE("what is over a limit or ambiguous is refused before it is taken") {
+    struct bad_request {
+        std::string bytes;
+        unsigned int status;
+    };
+    std::vector<bad_request> const cases{
+        {"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!", 400},
+        {"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\nhello", 400},
+        {"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         400},
+        {"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n", 413},
+        {"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: -5\r\n\r\n", 400},
+        {"GET /a HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(2 * max_header, 'x') + "\r\n\r\n", 431},
+        {"GET /a HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer a\r\nAuthorization: Bearer b\r\n\r\n", 400},
+        {"nonsense\r\n\r\n", 400},
+    };
+    open_door entry;
+    for (auto const& entry_case : cases) {
+        CAPTURE(entry_case.bytes.substr(0, 90));
+        test_client client("127.0.0.1", entry.port);
+        REQUIRE(client.send_raw(entry_case.bytes));
+        auto const answer = client.read_answer();
+        CHECK(answer.status == entry_case.status);
+        CHECK(answer.outcome() == "not-run");
+    }
+    CHECK(entry.request_count() == 0);
+}
+
+TEST_CASE("a body that never ends costs bounded memory") {
+    open_door entry;
+    test_client client("127.0.0.1", entry.port);
+    auto const before = resident_kilobytes();
+    REQUIRE(client.send_raw("POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"));
+    std::string const chunk = "4000\r\n" + std::string(0x4000, 'x') + "\r\n";
+    int sent = 0;
+    while (sent < 2000 && client.send_raw(chunk)) {
+        ++sent;
+    }
+    CHECK(sent < 2000);
+    CHECK(resident_kilobytes() - before < 8192);
+    CHECK(entry.request_count() == 0);
+}
+
+TEST_CASE("a request that is not finished is let go, and so are connections over the bound") {
+    open_door entry;
+    test_client slow("127.0.0.1", entry.port);
+    REQUIRE(slow.send_raw("GET /a HTTP/1.1\r\nHo"));
+    CHECK(slow.read_answer(std::chrono::seconds(10)).status == 0);
+    std::vector<std::unique_ptr<test_client>> crowd;
+    for (int index = 0; index < 40; ++index) {
+        crowd.push_back(std::make_unique<test_client>("127.0.0.1", entry.port));
+        crowd.back()->send_raw("GET /a HTTP/1.1\r\n");
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(3000));
+    test_client after("127.0.0.1", entry.port);
+    REQUIRE(after.send_raw("GET /b HTTP/1.1\r\nHost: x\r\n\r\n"));
+    REQUIRE(entry.wait_for_requests(1));
+    entry.answer(0, "b");
+    CHECK(after.read_answer().body == "b");
+}
--- /dev/null
+++ b/tests/link/codec_test.cpp
@@ -0,0 +1,119 @@
+/// Every message survives its bytes, and no bytes do harm.
+
+#include "link/codec.hpp"
+#include "support/property.hpp"
+
+using namespace caraway;
+
+namespace {
+
+std::string any_text() {
+    return *rc::gen::arbitrary<std::string>();
+}
+
+header_list any_headers() {
+    header_list headers;
+    for (auto const& name :
+         *rc::gen::container<std::vector<std::string>>(rc::gen::arbitrary<std::string>())) {
+        headers.push_back({name, any_text()});
+    }
+    return headers;
+}
+
+host_report any_report() {
+    return {*rc::gen::arbitrary<std::uint64_t>(), *rc::gen::arbitrary<std::uint64_t>(),
+            *rc::gen::arbitrary<std::uint32_t>(), 7,
+            *rc::gen::arbitrary<bool>(),          true};
+}
+
+message any_message() {
+    switch (*rc::gen::inRange(0, 8)) {
+    case 0:
+        return hello_message{any_text(), *rc::gen::arbitrary<std::uint64_t>(), any_text()};
+    case 1:
+        return ping_message{*rc::gen::arbitrary<std::uint64_t>(), any_report()};
+    case 2:
+        return forward_message{.call_id = 5,
+                               .request_id = any_text(),
+                               .headers = any_headers(),
+                               .body = any_text(),
+                               .deadline_ms = 1.5,
+                               .priority = 2,
+                               .ticket = any_text()};
+    case 3:
+        return answer_message{.call_id = 9,
+                              .result = outcome::not_forwarded,
+                              .code = result_code::overloaded,
+                              .headers = any_headers(),
+                              .body = any_text(),
+                              .admissions = {{any_text(), {0.5, 1, 0}}, {any_text(), {1, 1, 1}}},
+                              .report = any_report()};
+    case 4:
+        return gossip_message{.report = any_report(),
+                              .documents = {{{3}, {4}}},
+                              .suspects = {{1, 2, 3.5}},
+                              .wants_answer = true};
+    case 5:
+        return values_message{.document = document_kind::hosts,
+                              .revision = 3,
+                              .manifest = any_text(),
+                              .values = {{any_text(), any_text()}}};
+    case 6:
+        return want_tokens_message{any_text(), -5, 6, {{1, 2, 3}}};
+    default:
+        return counted_message{7, true, {any_text(), any_text()}};
+    }
+}
+
+std::optional<message> try_decode(std::string const& bytes) {
+    return attempt_or(
+        [&]() -> result<std::optional<message>> {
+            BOOST_LEAF_AUTO(value, decode(bytes));
+            return std::optional<message>(std::move(value));
+        },
+        [](problem const& cause) {
+            CHECK(cause.code == result_code::link_malformed);
+            return std::optional<message>{};
+        });
+}
+
+} // namespace
+
+TEST_CASE("a message reads back as it was written") {
+    caraway::tests::check_property("round trip", [] {
+        auto const original = any_message();
+        auto const bytes = encode(original);
+        auto const read = try_decode(bytes);
+        RC_ASSERT(read.has_value());
+        RC_ASSERT(encode(*read) == bytes);
+    });
+}
+
+TEST_CASE("a truncated message is refused") {
+    caraway::tests::check_property("truncation", [] {
+        auto const bytes = encode(any_message());
+        auto const length = *rc::gen::inRange<std::size_t>(0, bytes.size());
+        RC_ASSERT(!try_decode(bytes.substr(0, length)).has_value());
+    });
+}
+
+TEST_CASE("changed and arbitrary bytes are read or refused, never more") {
+    caraway::tests::check_property(
+        "damage",
+        [] {
+            auto bytes = encode(any_message());
+            for (int count = *rc::gen::inRange(1, 8); count > 0; --count) {
+                bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] =
+                    static_cast<char>(*rc::gen::inRange(0, 256));
+            }
+            try_decode(bytes);
+            try_decode(any_text());
+        },
+        1000);
+}
+
+TEST_CASE("a list that claims a great length reserves nothing") {
+    // An array of type 14, a sequence, a flag, and a list that claims 2^31 members.
+    std::string const bytes("\x9f\x0e\x9f\x07\xf5\x9a\x7f\xff\xff\xff", 10);
+    CHECK_FALSE(try_decode(bytes));
+}
--- a/tests/membership/rate_authority_test.cpp
+++ b/tests/membership/rate_authority_test.cpp
@@ -26,8 +26,8 @@
 
 rc::Gen<std::vector<planned_action>> any_plan() {
     auto const action = rc::gen::map(
-        rc::gen::tuple(rc::gen::inRange(0, simulation_action_count), rc::gen::inRange<std::uint64_t>(0, 1000), rc::gen::inRange(10, 4000),
-                       rc::gen::element(0.0, 0.3, 1.0, 5.0)),
+        rc::gen::tuple(rc::gen::inRange(0, simulation_action_count), rc::gen::inRange<std::uint64_t>(0, 1000),
+                       rc::gen::inRange(10, 4000), rc::gen::element(0.0, 0.3, 1.0, 5.0)),
         [](std::tuple<int, std::uint64_t, int, double> const& parts) {
             return planned_action{static_cast<simulation_action>(std::get<0>(parts)), std::get<1>(parts),
                                   std::get<2>(parts), std::get<3>(parts)};
@@ -38,23 +38,28 @@
 } // namespace
 
 TEST_CASE("no window admits more than rate and burst, whatever fails") {
-    check_property("conservation", [] {
-        auto const seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
-        auto const plan = *any_plan();
-        simulation_faults const faults{*rc::gen::inRange(0, 20) / 100.0, *rc::gen::inRange(0, 20) / 100.0,
-                                       *rc::gen::inRange(0, 10) / 100.0, *rc::gen::inRange(1, 1000) * 1.0};
-        auto const total = *rc::gen::element(rate_terms{200, 100}, rate_terms{20, 100}, rate_terms{400, 50});
-        rate_simulation fleet(*rc::gen::inRange(1, 4), *rc::gen::inRange(1, 5), total, faults, seed);
-        fleet.run(settle_ms, 0);
-        for (auto const& step : plan) {
-            fleet.act(step.action, step.choice);
-            fleet.run(step.pause_ms, step.demand * total.rate);
-        }
-        fleet.act(simulation_action::wake, 0);
-        fleet.act(simulation_action::heal, 0);
-        fleet.run(settle_ms, 5 * total.rate);
-        RC_ASSERT(fleet.excess() <= rounding);
-    }, conservation_runs);
+    check_property(
+        "conservation",
+        [] {
+            auto const seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
+            auto const plan = *any_plan();
+            simulation_faults const faults{*rc::gen::inRange(0, 20) / 100.0, *rc::gen::inRange(0, 20) / 100.0,
+                                           *rc::gen::inRange(0, 10) / 100.0,
+                                           *rc::gen::inRange(1, 1000) * 1.0};
+            auto const total =
+                *rc::gen::element(rate_terms{200, 100}, rate_terms{20, 100}, rate_terms{400, 50});
+            rate_simulation fleet(*rc::gen::inRange(1, 4), *rc::gen::inRange(1, 5), total, faults, seed);
+            fleet.run(settle_ms, 0);
+            for (auto const& step : plan) {
+                fleet.act(step.action, step.choice);
+                fleet.run(step.pause_ms, step.demand * total.rate);
+            }
+            fleet.act(simulation_action::wake, 0);
+            fleet.act(simulation_action::heal, 0);
+            fleet.run(settle_ms, 5 * total.rate);
+            RC_ASSERT(fleet.excess() <= rounding);
+        },
+        conservation_runs);
 }
 
 TEST_CASE("an organisation inside its rate is not refused, also when all its callers enter at one host") {
--- a/tests/membership/rate_simulation.cpp
+++ b/tests/membership/rate_simulation.cpp
@@ -10,8 +10,8 @@
 
 } // namespace
 
-rate_simulation::rate_simulation(int domains, int hosts_per_domain, rate_terms terms, simulation_faults wanted,
-                                 std::uint64_t seed)
+rate_simulation::rate_simulation(int domains, int hosts_per_domain, rate_terms terms,
+                                 simulation_faults wanted, std::uint64_t seed)
     : total(terms), domain_count(domains), faults(wanted), random(seed) {
     for (int domain = 0; domain < domains; ++domain) {
         for (int index = 0; index < hosts_per_domain; ++index) {
@@ -28,12 +28,14 @@
     }
 }
 
-void rate_simulation::publish() { this->lists.push_back({this->now.milliseconds, this->listed}); }
+void rate_simulation::publish() {
+    this->lists.push_back({this->now.milliseconds, this->listed});
+}
 
 void rate_simulation::start(simulated_host& host) {
     host.incarnation = this->next_incarnation++;
-    host.authority =
-        std::make_unique<rate_authority>(host.name, host.domain, host.incarnation, rights_timing{}, this->now);
+    host.authority = std::make_unique<rate_authority>(host.name, host.domain, host.incarnation,
+                                                      rights_timing{}, this->now);
     double const share = 1.0 / this->domain_count;
     host.authority->configure({{tested_organisation, {this->total.rate * share, this->total.burst * share}}},
                               this->now);
--- a/tests/membership/rate_simulation.hpp
+++ b/tests/membership/rate_simulation.hpp
@@ -1,4 +1,5 @@
-/// Several rate_authority objects joined by a network that loses, doubles and delays, under a lagging host list.
+/// Several rate_authority objects joined by a network that loses, doubles and delays, under a lagging host
+/// list.
 #pragma once
 
 #include "membership/rate_authority.hpp"
@@ -41,7 +42,8 @@
 
 class rate_simulation {
 public:
-    rate_simulation(int domains, int hosts_per_domain, rate_terms total, simulation_faults wanted, std::uint64_t seed);
+    rate_simulation(int domains, int hosts_per_domain, rate_terms total, simulation_faults wanted,
+                    std::uint64_t seed);
 
     void act(simulation_action action, std::uint64_t choice);
     /// Runs on; each step every running host gets requests with the mean `requests_per_second` in all.
@@ -63,7 +65,8 @@
         bool running{false};
         bool paused{false};
         std::uint64_t list_revision{0};
-        std::vector<std::pair<std::string, rights_message>> inbox; ///< Waiting in the socket of a paused process.
+        std::vector<std::pair<std::string, rights_message>>
+            inbox; ///< Waiting in the socket of a paused process.
         std::size_t waiting{0};
     };
     struct flying_letter {
--- a/tests/policy/admission_test.cpp
+++ b/tests/policy/admission_test.cpp
@@ -19,13 +19,15 @@
 };
 
 /// Offers the load for ten seconds to a host that completes `capacity` a second; first nodes obey at once.
-void saturate(admission_controller& controller, std::vector<offered_load> const& loads, double capacity, double& now) {
+void saturate(admission_controller& controller, std::vector<offered_load> const& loads, double capacity,
+              double& now) {
     std::vector<double> credit(loads.size(), 0);
     for (double const end = now + 10'000; now < end; now += 10) {
         double arrived = 0;
         for (std::size_t index = 0; index < loads.size(); ++index) {
             auto const& load = loads[index];
-            credit[index] += load.per_second * 0.01 * controller.admitted(load.organisation).at(load.priority);
+            credit[index] +=
+                load.per_second * 0.01 * controller.admitted(load.organisation).at(load.priority);
             for (; credit[index] >= 1; credit[index] -= 1) {
                 controller.note_arrival(load.organisation, load.priority, 1);
                 ++arrived;
--- a/tests/policy/concurrency_limiter_test.cpp
+++ b/tests/policy/concurrency_limiter_test.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-/// A target that works on `knee` requests at full speed and slows all of them down beyond; saturated for `span`.
+/// A target that works on `knee` requests at full speed and slows all of them down beyond; saturated for
+/// `span`.
 void saturate(concurrency_limiter& limiter, double base_ms, int knee, double span_ms, double& now) {
     double const end = now + span_ms;
     double credit = 0;
--- a/tests/policy/retry_allowance_test.cpp
+++ b/tests/policy/retry_allowance_test.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// Calls `fan_out` services at each depth; each attempt fails with the given chance. Children of one parent run at
-/// the same time: all are handed their part before any gives back.
+/// Calls `fan_out` services at each depth; each attempt fails with the given chance. Children of one parent
+/// run at the same time: all are handed their part before any gives back.
 struct call_tree {
     std::mt19937_64 random;
     int fan_out;
--- a/tests/policy/target_chooser_test.cpp
+++ b/tests/policy/target_chooser_test.cpp
@@ -15,7 +15,8 @@
     return {{"near-1", true, 0, 10, {0}}, {"near-2", true, 0, 10, {0}}, {"far-1", false, 0, 10, {0}}};
 }
 
-std::map<std::string, int> choose_many(target_chooser& chooser, std::vector<candidate_host> const& hosts, double now) {
+std::map<std::string, int> choose_many(target_chooser& chooser, std::vector<candidate_host> const& hosts,
+                                       double now) {
     std::mt19937_64 random(3);
     std::map<std::string, int> counts;
     for (int round = 0; round < 300; ++round) {
--- a/tests/standins/fault_proxy.cpp
+++ b/tests/standins/fault_proxy.cpp
@@ -127,8 +127,8 @@
     asio::steady_timer timer(this->io);
     boost::system::error_code error;
     while (!error) {
-        auto const count =
-            co_await from.async_read_some(asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, error));
+        auto const count = co_await from.async_read_some(asio::buffer(chunk),
+                                                         asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             break;
         }
--- a/tests/standins/fleet.cpp
+++ b/tests/standins/fleet.cpp
@@ -54,11 +54,13 @@
 }
 
 std::string key_entry(std::string const& name, std::string const& organisation, std::string const& key) {
-    return "[keys." + name + "]\norganisation = \"" + organisation + "\"\nsha256 = \"" + sha256_hex(key) + "\"\n";
+    return "[keys." + name + "]\norganisation = \"" + organisation + "\"\nsha256 = \"" + sha256_hex(key) +
+           "\"\n";
 }
 
 fleet::fleet(fleet_options wanted) : options(std::move(wanted)), folder(make_folder()) {
-    // Each fleet has loopback numbers of its own, so that one run's last sockets do not meet the next run's first.
+    // Each fleet has loopback numbers of its own, so that one run's last sockets do not meet the next run's
+    // first.
     this->prefix = "127." + std::to_string(16 + random_number() % 200);
     this->platform_service = std::make_unique<platform_standin>(this->prefix + ".0.1", platform_port);
     std::map<std::string, int> domain_numbers;
@@ -114,16 +116,19 @@
 
 void fleet::write_settings(fleet_node& node) {
     auto const domain_part = node.ip.substr(0, node.ip.rfind('.'));
-    auto const address = [&](std::uint16_t port) { return "\"" + node.ip + ":" + std::to_string(port) + "\"\n"; };
+    auto const address = [&](std::uint16_t port) {
+        return "\"" + node.ip + ":" + std::to_string(port) + "\"\n";
+    };
     node.settings_path = this->folder + "/" + node.host.name + ".toml";
     std::ofstream file(node.settings_path);
     file << "[node]\nhost = \"" << node.host.name << "\"\nfailure_domain = \"" << node.host.failure_domain
-         << "\"\nservice = \"" << node.host.target.service << "\"\n[addresses]\ncallers = " << address(callers_port)
-         << "egress = " << address(egress_port) << "link = " << address(link_port)
-         << "operators = " << address(operators_port) << "target = " << address(target_port)
-         << "[platform]\nurl = \"http://" << domain_part << ".250:" << platform_port
-         << "\"\n[link]\nfleet_secret = \"a-secret-shared-by-the-fleet\"\n[control]\nmode = \"" << this->options.mode
-         << "\"\n[telemetry]\nlog_level = \"info\"\n";
+         << "\"\nservice = \"" << node.host.target.service
+         << "\"\n[addresses]\ncallers = " << address(callers_port) << "egress = " << address(egress_port)
+         << "link = " << address(link_port) << "operators = " << address(operators_port)
+         << "target = " << address(target_port) << "[platform]\nurl = \"http://" << domain_part
+         << ".250:" << platform_port
+         << "\"\n[link]\nfleet_secret = \"a-secret-shared-by-the-fleet\"\n[control]\nmode = \""
+         << this->options.mode << "\"\n[telemetry]\nlog_level = \"info\"\n";
     if (!this->options.span_folder.empty()) {
         file << "span_file_descriptor = " << span_descriptor << "\n";
     }
@@ -171,7 +176,8 @@
 bool fleet::wait_exit(std::size_t index, std::chrono::milliseconds limit, int& code) {
     auto& node = *this->nodes.at(index);
     int status = 0;
-    bool const ended = wait_until([&] { return ::waitpid(node.process, &status, WNOHANG) == node.process; }, limit);
+    bool const ended =
+        wait_until([&] { return ::waitpid(node.process, &status, WNOHANG) == node.process; }, limit);
     if (ended) {
         node.process = 0;
         code = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
@@ -191,7 +197,9 @@
     return hosts;
 }
 
-void fleet::publish_hosts() { this->platform_service->publish_hosts(this->host_list()); }
+void fleet::publish_hosts() {
+    this->platform_service->publish_hosts(this->host_list());
+}
 
 std::uint64_t fleet::publish(std::string const& toml) {
     ++this->configuration_revision;
@@ -227,13 +235,14 @@
 }
 
 client_answer fleet::call(std::size_t index, std::string const& method, std::string const& path,
-                          header_map const& headers, std::string const& body, std::chrono::milliseconds timeout) {
+                          header_map const& headers, std::string const& body,
+                          std::chrono::milliseconds timeout) {
     return fetch(this->nodes.at(index)->ip, callers_port, method, path, headers, body, timeout);
 }
 
 std::string fleet::status_field(std::size_t index, std::string const& path) {
-    auto const answer = fetch(this->nodes.at(index)->ip, operators_port, "GET", "/status", {}, "",
-                              std::chrono::seconds(2));
+    auto const answer =
+        fetch(this->nodes.at(index)->ip, operators_port, "GET", "/status", {}, "", std::chrono::seconds(2));
     QJsonValue value = QJsonDocument::fromJson(QByteArray::fromStdString(answer.body)).object();
     std::size_t begin = 0;
     while (begin <= path.size()) {
--- a/tests/standins/fleet.hpp
+++ b/tests/standins/fleet.hpp
@@ -28,8 +28,8 @@
     std::string mode{"full"};
     double link_delay_ms{0}; ///< One way, between failure domains.
     std::string extra_settings;
-    bool proxies{true}; ///< Without them links are direct, for load.
-    std::string log_folder; ///< Standard error of the nodes; a new temporary folder when empty.
+    bool proxies{true};      ///< Without them links are direct, for load.
+    std::string log_folder;  ///< Standard error of the nodes; a new temporary folder when empty.
     std::string span_folder; ///< Spans as files, one for each host; not written when empty.
 };
 
@@ -115,6 +115,8 @@
 /// The TOML line of a key for an organisation.
 std::string key_entry(std::string const& name, std::string const& organisation, std::string const& key);
 
-inline std::string bearer(std::string const& key) { return "Bearer " + key; }
+inline std::string bearer(std::string const& key) {
+    return "Bearer " + key;
+}
 
 } // namespace caraway::standins
--- a/tests/standins/http_service.cpp
+++ b/tests/standins/http_service.cpp
@@ -11,7 +11,8 @@
     return response;
 }
 
-http_service::http_service(std::string listen_address, std::uint16_t listen_port, http_handler request_handler)
+http_service::http_service(std::string listen_address, std::uint16_t listen_port,
+                           http_handler request_handler)
     : address(std::move(listen_address)), port(listen_port), handler(std::move(request_handler)) {
     this->open();
     this->worker = std::thread([this] {
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -71,7 +71,8 @@
     return found == source.end() ? stored_value{} : found->second;
 }
 
-asio::awaitable<http_response> platform_standin::watch(std::string name, std::uint64_t after, std::int64_t wait_ms) {
+asio::awaitable<http_response> platform_standin::watch(std::string name, std::uint64_t after,
+                                                       std::int64_t wait_ms) {
     auto const until = std::chrono::steady_clock::now() + std::chrono::milliseconds(wait_ms);
     auto value = this->seen(name);
     asio::steady_timer timer(this->service.context());
--- a/tests/standins/target_standin.cpp
+++ b/tests/standins/target_standin.cpp
@@ -35,7 +35,9 @@
     : behaviour(std::move(wanted)), random_state(fast_hash(address + std::to_string(port))),
       service(address, port, [this](http_request request) { return this->handle(std::move(request)); }) {}
 
-target_standin::~target_standin() { this->service.context().stop(); }
+target_standin::~target_standin() {
+    this->service.context().stop();
+}
 
 std::map<std::string, int> target_standin::runs() const {
     std::lock_guard const guard(this->mutex);
@@ -118,7 +120,8 @@
     http_response response;
     if (!error) {
         boost::beast::flat_buffer buffer;
-        co_await http::async_read(*stream, buffer, response, asio::redirect_error(asio::use_awaitable, error));
+        co_await http::async_read(*stream, buffer, response,
+                                  asio::redirect_error(asio::use_awaitable, error));
     }
     if (error) {
         co_return false;
@@ -163,7 +166,8 @@
     }
     this->give_slot();
     auto const size = static_cast<std::size_t>(query_value(target, "size", 0));
-    auto body = size > 0 ? std::string(size, 'x') : this->behaviour.service + " " + field(request, header::request_id);
+    auto body = size > 0 ? std::string(size, 'x')
+                         : this->behaviour.service + " " + field(request, header::request_id);
     co_return make_response(whole ? 200 : 502, std::move(body));
 }
 
--- a/tests/standins/target_standin.hpp
+++ b/tests/standins/target_standin.hpp
@@ -1,7 +1,7 @@
 /// Stands in for a target: slots, service time, calls to further services, and its ways to fail.
 ///
-/// A request may steer it by its query: "work_ms=N", "crash=1" (cuts everything, as a dying process does), "fail=1",
-/// "size=N" (bytes of the answer), "hang=1".
+/// A request may steer it by its query: "work_ms=N", "crash=1" (cuts everything, as a dying process does),
+/// "fail=1", "size=N" (bytes of the answer), "hang=1".
 #pragma once
 
 #include "standins/http_service.hpp"
--- a/tests/standins/test_client.cpp
+++ b/tests/standins/test_client.cpp
@@ -47,7 +47,9 @@
     return true;
 }
 
-void test_client::close() { this->stream.reset(); }
+void test_client::close() {
+    this->stream.reset();
+}
 
 bool test_client::send_raw(std::string const& bytes) {
     if (!this->connect()) {
@@ -91,8 +93,9 @@
     return answer;
 }
 
-client_answer test_client::request(std::string const& method, std::string const& path, header_map const& headers,
-                                   std::string const& body, std::chrono::milliseconds timeout) {
+client_answer test_client::request(std::string const& method, std::string const& path,
+                                   header_map const& headers, std::string const& body,
+                                   std::chrono::milliseconds timeout) {
     std::string text = method + " " + path + " HTTP/1.1\r\nHost: test\r\n";
     for (auto const& [name, value] : headers) {
         text += name + ": " + value + "\r\n";
--- a/tests/support/property.hpp
+++ b/tests/support/property.hpp
@@ -10,7 +10,7 @@
 namespace caraway::tests {
 
 /// Runs the property; the seed is printed by RapidCheck when it fails.
-template<typename Property>
+template <typename Property>
 void check_property(std::string const& description, Property&& property, int runs = 100) {
     auto const parameters = "seed=20261204 max_success=" + std::to_string(runs);
     // What the caller of the program has set goes first.
--- a/utilities/carawayctl/commands.cpp
+++ b/utilities/carawayctl/commands.cpp
@@ -29,7 +29,9 @@
     command_function run;
 };
 
-QString text(std::string_view value) { return QString::fromUtf8(value.data(), static_cast<qsizetype>(value.size())); }
+QString text(std::string_view value) {
+    return QString::fromUtf8(value.data(), static_cast<qsizetype>(value.size()));
+}
 
 void print_json(QJsonDocument const& document) {
     std::cout << document.toJson(QJsonDocument::Indented).toStdString();
@@ -62,25 +64,27 @@
         largest = std::max(largest, value.size());
     }
     if (line.json) {
-        print_json(QJsonDocument(QJsonObject{{"ok", true},
-                                             {"organisations", static_cast<int>(built->organisations().size())},
-                                             {"keys", static_cast<int>(built->key_count())},
-                                             {"routes", static_cast<int>(built->routes().size())},
-                                             {"services", static_cast<int>(built->services().size())},
-                                             {"values", static_cast<int>(made.values.size())},
-                                             {"largest_value_bytes", static_cast<int>(largest)}}));
+        print_json(
+            QJsonDocument(QJsonObject{{"ok", true},
+                                      {"organisations", static_cast<int>(built->organisations().size())},
+                                      {"keys", static_cast<int>(built->key_count())},
+                                      {"routes", static_cast<int>(built->routes().size())},
+                                      {"services", static_cast<int>(built->services().size())},
+                                      {"values", static_cast<int>(made.values.size())},
+                                      {"largest_value_bytes", static_cast<int>(largest)}}));
         return exit_success;
     }
     std::cout << painted(line, "ok", "32") << ": " << built->organisations().size() << " organisations, "
               << built->key_count() << " keys, " << built->services().size() << " services, "
-              << built->routes().size() << " routes; " << made.values.size() << " values, the largest of " << largest
-              << " bytes\n";
+              << built->routes().size() << " routes; " << made.values.size() << " values, the largest of "
+              << largest << " bytes\n";
     for (auto const& [name, entry] : built->organisations()) {
         for (auto const& [domain, share] : built->failure_domains()) {
             if (share.weight > 0 && entry.burst * share.weight < 1) {
                 std::cout << painted(line, "note", "33") << ": organisation '" << name << "' has a burst of "
                           << entry.burst << "; its part in '" << domain
-                          << "' is below one request, so that domain serves it only while it can borrow from others\n";
+                          << "' is below one request, so that domain serves it only while it can borrow from "
+                             "others\n";
             }
         }
     }
@@ -89,7 +93,8 @@
 
 result<int> bundle_command(command_line const& line) {
     if (line.revision == 0) {
-        return fail({result_code::configuration_missing, "'bundle' needs --revision N, higher than any before."});
+        return fail(
+            {result_code::configuration_missing, "'bundle' needs --revision N, higher than any before."});
     }
     BOOST_LEAF_AUTO(items, read_folder(line.operands.front()));
     BOOST_LEAF_AUTO(made, make_bundle(items, line.revision));
@@ -100,9 +105,9 @@
 QJsonObject item_to_json(field_map const& fields) {
     QJsonObject object;
     for (auto const& [name, value] : fields) {
-        object.insert(text(name), QJsonObject{{"value", text(to_words(value))},
-                                              {"file", text(value.file)},
-                                              {"line", value.line}});
+        object.insert(
+            text(name),
+            QJsonObject{{"value", text(to_words(value))}, {"file", text(value.file)}, {"line", value.line}});
     }
     return object;
 }
@@ -119,8 +124,8 @@
             }
             std::cout << painted(line, "[" + section + "." + name + "]", "1") << '\n';
             for (auto const& [field_name, value] : fields) {
-                std::cout << "  " << std::left << std::setw(18) << field_name << std::setw(30) << to_words(value)
-                          << "# " << value.file << ':' << value.line << '\n';
+                std::cout << "  " << std::left << std::setw(18) << field_name << std::setw(30)
+                          << to_words(value) << "# " << value.file << ':' << value.line << '\n';
             }
         }
         sections.insert(text(section), rows);
@@ -193,8 +198,9 @@
                 auto const span = value.toObject();
                 bool wanted = span.value("traceId").toString().toStdString() == trace;
                 for (auto const& attribute : span.value("attributes").toArray()) {
-                    wanted = wanted || attribute.toObject().value("value").toObject().value("stringValue").toString() ==
-                                           text(trace);
+                    wanted = wanted ||
+                             attribute.toObject().value("value").toObject().value("stringValue").toString() ==
+                                 text(trace);
                 }
                 if (!wanted) {
                     continue;
@@ -217,8 +223,8 @@
             continue;
         }
         std::cout << std::string(static_cast<std::size_t>(depth) * 2, ' ') << row.name.toStdString() << "  ["
-                  << row.host.toStdString() << "]  +" << std::fixed << std::setprecision(2) << row.start_ms - origin_ms
-                  << " ms, " << row.taken_ms << " ms\n";
+                  << row.host.toStdString() << "]  +" << std::fixed << std::setprecision(2)
+                  << row.start_ms - origin_ms << " ms, " << row.taken_ms << " ms\n";
         print_tree(rows, row.id, depth + 1, origin_ms);
     }
 }
@@ -232,8 +238,8 @@
         }
         std::string request;
         while (std::getline(stream, request)) {
-            collect_spans(QJsonDocument::fromJson(QByteArray::fromStdString(request)).object(), line.operands.front(),
-                          rows);
+            collect_spans(QJsonDocument::fromJson(QByteArray::fromStdString(request)).object(),
+                          line.operands.front(), rows);
         }
     }
     if (rows.empty()) {
@@ -285,8 +291,8 @@
     std::cout << "| Code | Name | HTTP | Meaning | What to do |\n|---|---|---|---|---|\n";
     for (auto const& entry : result_codes()) {
         std::cout << "| " << static_cast<int>(entry.code) << " | `" << entry.name << "` | "
-                  << (entry.http_status == 0 ? "-" : std::to_string(entry.http_status)) << " | " << entry.meaning
-                  << " | " << entry.remedy << " |\n";
+                  << (entry.http_status == 0 ? "-" : std::to_string(entry.http_status)) << " | "
+                  << entry.meaning << " | " << entry.remedy << " |\n";
     }
     return exit_success;
 }
@@ -300,8 +306,8 @@
                 bounds << entry.low << " to " << entry.high;
             }
             std::cout << "| `" << entry.section << "." << entry.name << "` | " << name_of(entry.type) << " | "
-                      << bounds.str() << " | " << entry.unit << " | " << (entry.required ? "yes" : "no") << " | "
-                      << entry.meaning << " |\n";
+                      << bounds.str() << " | " << entry.unit << " | " << (entry.required ? "yes" : "no")
+                      << " | " << entry.meaning << " |\n";
         }
     };
     std::cout << "## The operators' folder\n\n";
@@ -326,7 +332,8 @@
     {"check", "DIR", 1, "merge the folder and report the first mistake with file and line", check},
     {"bundle", "DIR", 1, "print the values to publish as JSON; needs --revision", bundle_command},
     {"show", "DIR", 1, "print the merged folder with the file and line of each value", show},
-    {"status", "IP:PORT", 1, "print a node's status from its operators' address; fails unless it is ready", status},
+    {"status", "IP:PORT", 1, "print a node's status from its operators' address; fails unless it is ready",
+     status},
     {"trace", "ID FILE...", 2, "print the call tree of a trace or request id from span files", trace},
     {"explain", "CODE", 1, "explain a result code, by number or name", explain},
     {"codes", "", 0, "print the table of result codes as Markdown", codes},
@@ -339,8 +346,8 @@
 std::string command_help() {
     std::ostringstream stream;
     for (auto const& entry : commands) {
-        stream << "  " << std::left << std::setw(24) << (std::string(entry.name) + " " + std::string(entry.operand))
-               << entry.help << '\n';
+        stream << "  " << std::left << std::setw(24)
+               << (std::string(entry.name) + " " + std::string(entry.operand)) << entry.help << '\n';
     }
     return stream.str();
 }
@@ -349,8 +356,9 @@
     auto const* found = std::ranges::find(commands, line.command, &command_entry::name);
     bool const usable = found != commands.end() && line.operands.size() >= found->operand_count;
     if (!usable) {
-        std::cerr << (found == commands.end() ? "No command is named '" + line.command + "'.\n"
-                                              : "'" + line.command + "' needs: " + std::string(found->operand) + "\n")
+        std::cerr << (found == commands.end()
+                          ? "No command is named '" + line.command + "'.\n"
+                          : "'" + line.command + "' needs: " + std::string(found->operand) + "\n")
                   << "Commands:\n"
                   << command_help();
         return exit_usage;
--- a/utilities/carawayctl/main.cpp
+++ b/utilities/carawayctl/main.cpp
@@ -16,11 +16,11 @@
                                   "Exit codes: 0 all well, 1 a problem was found, 2 wrong usage.",
                               ' ', "0.1.0");
         TCLAP::UnlabeledValueArg<std::string> command("command", "What to do.", true, "", "COMMAND", parser);
-        TCLAP::ValueArg<std::uint64_t> revision("r", "revision", "The revision of a bundle; higher than any before.",
-                                                false, 0, "N", parser);
+        TCLAP::ValueArg<std::uint64_t> revision(
+            "r", "revision", "The revision of a bundle; higher than any before.", false, 0, "N", parser);
         TCLAP::SwitchArg json("j", "json", "Print data as JSON.", parser);
-        TCLAP::UnlabeledMultiArg<std::string> operands("operands", "What the command works on.", false, "OPERAND",
-                                                       parser);
+        TCLAP::UnlabeledMultiArg<std::string> operands("operands", "What the command works on.", false,
+                                                       "OPERAND", parser);
         parser.parse(argument_count, arguments);
         line = {command.getValue(), operands.getValue(), revision.getValue(), json.getValue(),
                 ::isatty(STDOUT_FILENO) != 0};
