system: Prove the promises on real processes behind a fault-injecting proxy

Faults that they found, each mended here: - A cut domain whose only pool owner had died refused the organisation whole. Cause: one pool for each organisation and domain, and the list can't name the death while cut off. Every domain's part is split over four pools with owners of their own; a lender that does not answer is left out for two seconds. Ruled out: waiting for the list (unbounded in a cut). - A ticket whose host died was waited for until the caller's deadline (60 s); after 3 s without a link the answer is 'unknown'. - A request cut at its deadline said 'cancelled'; it says 'deadline_passed'. - A nested call of a request on an open route ran without anybody's key on routes that are not open; it is refused.

--- a/libraries/membership/rate_authority.cpp
+++ b/libraries/membership/rate_authority.cpp
@@ -13,9 +13,18 @@
 constexpr duration ask_timeout{80};
 constexpr duration min_dry_span{10};
 constexpr duration max_dry_span{200};
+/// Between two attempts to stock up when the own domain's pools are empty.
+constexpr duration stock_pause{50};
+/// A lender that did not answer is left out for this span.
+constexpr duration avoid_span{2000};
 /// The longest span a pool's hint is trusted for.
 constexpr double max_retry_ms = 60'000;
 
+/// What the owner of a pool is chosen by.
+std::string subject_of(std::string const& organisation, std::uint8_t shard) {
+    return organisation + '#' + std::to_string(shard);
+}
+
 } // namespace
 
 rate_authority::rate_authority(std::string own_host, std::string own_domain, std::uint64_t own_incarnation,
@@ -25,11 +34,12 @@
 
 void rate_authority::configure(std::unordered_map<std::string, rate_terms> own_terms, time_point now) {
     this->terms = std::move(own_terms);
-    std::erase_if(this->pools, [this](auto const& entry) { return !this->terms.contains(entry.first); });
+    std::erase_if(this->pools,
+                  [this](auto const& entry) { return !this->terms.contains(entry.second.organisation); });
     std::erase_if(this->borrowers, [this](auto const& entry) { return !this->terms.contains(entry.first); });
-    for (auto& [organisation, pool] : this->pools) {
-        auto const& term = this->terms.at(organisation);
-        pool.pool.set_terms(term.rate, term.burst, now);
+    for (auto& [subject, pool] : this->pools) {
+        auto const& term = this->terms.at(pool.organisation);
+        pool.pool.set_terms(term.rate / shards_per_organisation, term.burst / shards_per_organisation, now);
     }
 }
 
@@ -78,10 +88,13 @@
 void rate_authority::borrow(std::string const& organisation, borrower& state, std::size_t waiting,
                             time_point now) {
     auto const wanted = state.wallet.shortage(now, waiting);
-    if (wanted <= 0 || state.sequence != 0 || now < state.dry_until) {
+    bool const too_soon = now < state.dry_until || (waiting == 0 && now < state.next_stock);
+    if (wanted <= 0 || state.sequence != 0 || too_soon) {
         return;
     }
-    state.untried = this->lenders(organisation);
+    state.untried = this->lenders(organisation, state.rounds++, now);
+    state.remote_count = static_cast<std::size_t>(
+        std::ranges::count_if(state.untried, [](lender_address const& lender) { return lender.is_remote; }));
     state.supplied = false;
     state.shortest_wait = max_dry_span;
     this->waiting_hint = waiting;
@@ -93,71 +106,97 @@
     if (state.untried.empty()) {
         return this->end_round(state, now);
     }
-    state.lender = state.untried.back();
+    auto const next = state.untried.back();
+    bool const is_remote = state.untried.size() <= state.remote_count;
+    bool const is_urgent =
+        state.wallet.level(now) < static_cast<token_amount>(this->waiting_hint) * one_token;
+    if (is_remote && !is_urgent) {
+        // Other domains are asked for what is needed now, not for stock.
+        state.sequence = 0;
+        state.next_stock = now + stock_pause;
+        return;
+    }
+    state.lender = next;
     state.untried.pop_back();
     state.sequence = this->next_sequence++;
     state.asked = now;
-    want_tokens_message want{.organisation = organisation, .amount = wanted, .sequence = state.sequence};
-    std::vector<wallet_report> others;
+    want_tokens_message want{.organisation = organisation,
+                             .shard = state.lender.shard,
+                             .amount = wanted,
+                             .sequence = state.sequence};
+    this->add_reports(organisation, state, &want, now);
+    this->send(state.lender.host, std::move(want), now);
+}
+
+void rate_authority::add_reports(std::string const& organisation, borrower& state, want_tokens_message* want,
+                                 time_point now) {
+    std::map<std::pair<std::string, std::uint8_t>, want_tokens_message> others;
     for (auto const& entry : state.wallet.take_reports(now)) {
-        if (entry.lender == state.lender) {
-            want.uses.push_back(entry.use);
-        } else {
-            others.push_back(entry);
+        bool const rides_along =
+            want != nullptr && entry.lender == state.lender.host && entry.shard == state.lender.shard;
+        if (rides_along) {
+            want->uses.push_back(entry.use);
+            continue;
         }
+        auto& message = others[{entry.lender, entry.shard}];
+        message.organisation = organisation;
+        message.shard = entry.shard;
+        message.uses.push_back(entry.use);
     }
-    for (auto const& entry : others) {
-        this->send(entry.lender, want_tokens_message{.organisation = organisation, .uses = {entry.use}}, now);
+    for (auto& [lender, message] : others) {
+        this->send(lender.first, std::move(message), now);
     }
-    this->send(state.lender, std::move(want), now);
 }
 
 void rate_authority::end_round(borrower& state, time_point now) {
     state.sequence = 0;
-    if (!state.supplied) {
+    bool const is_short = state.wallet.level(now) < one_token;
+    if (!state.supplied && is_short) {
         state.dry_until = now + std::clamp(state.shortest_wait, min_dry_span, max_dry_span);
     }
 }
 
-std::vector<std::string> rate_authority::lenders(std::string const& organisation) {
+std::vector<rate_authority::lender_address> rate_authority::lenders(std::string const& organisation,
+                                                                    std::uint64_t round, time_point now) {
     auto const [entry, inserted] = this->remote_lenders.try_emplace(organisation);
     if (inserted) {
         entry->second = this->find_remote_lenders(organisation);
     }
     auto order = entry->second;
-    order.push_back(this->membership.owner(organisation));
+    // The own domain's pools are asked first, beginning with another one each round.
+    for (std::uint8_t index = 0; index < shards_per_organisation; ++index) {
+        auto const shard = static_cast<std::uint8_t>((round + index) % shards_per_organisation);
+        order.push_back({this->membership.owner(subject_of(organisation, shard)), shard});
+    }
+    std::erase_if(order, [this, now](lender_address const& lender) {
+        auto const found = this->avoided.find(lender.host);
+        return found != this->avoided.end() && now < found->second;
+    });
     return order;
 }
 
-std::vector<std::string> rate_authority::find_remote_lenders(std::string const& organisation) const {
-    std::vector<std::string> order;
+std::vector<rate_authority::lender_address>
+rate_authority::find_remote_lenders(std::string const& organisation) const {
+    std::vector<lender_address> order;
     for (auto const& [name, listed] : this->hosts) {
         if (name == this->domain) {
             continue;
         }
         std::vector<std::string> const candidates(listed.begin(), listed.end());
-        auto const top = rendezvous_top(candidates, organisation, 1);
-        order.insert(order.end(), top.begin(), top.end());
+        for (std::uint8_t shard = 0; shard < shards_per_organisation; ++shard) {
+            for (auto const& name_of_host : rendezvous_top(candidates, subject_of(organisation, shard), 1)) {
+                order.push_back({name_of_host, shard, true});
+            }
+        }
     }
     // A different order at every node spreads the borrowing over the domains.
-    std::ranges::sort(order, [this](std::string const& left, std::string const& right) {
-        return rendezvous_prefers(left, right, this->host);
+    std::ranges::sort(order, [this](lender_address const& left, lender_address const& right) {
+        return rendezvous_prefers(subject_of(left.host, left.shard), subject_of(right.host, right.shard),
+                                  this->host);
     });
     return order;
 }
 
-void rate_authority::report(std::string const& organisation, borrower& state, time_point now) {
-    std::map<std::string, want_tokens_message> reports;
-    for (auto const& entry : state.wallet.take_reports(now)) {
-        auto& message = reports[entry.lender];
-        message.organisation = organisation;
-        message.uses.push_back(entry.use);
-    }
-    for (auto& [lender, message] : reports) {
-        this->send(lender, std::move(message), now);
-    }
-}
-
 void rate_authority::send(std::string const& to, rights_message content, time_point now) {
     if (to == this->host) {
         return this->receive(to, content, now);
@@ -180,7 +219,7 @@
 }
 
 void rate_authority::serve_want(std::string const& from, want_tokens_message const& want, time_point now) {
-    auto* pool = this->own_pool(want.organisation, now);
+    auto* pool = this->own_pool(want.organisation, want.shard, now);
     if (pool != nullptr) {
         for (auto const& use : want.uses) {
             pool->settle(use, now);
@@ -202,21 +241,25 @@
     this->send(from, grant, now);
 }
 
-rate_pool* rate_authority::own_pool(std::string const& organisation, time_point now) {
+rate_pool* rate_authority::own_pool(std::string const& organisation, std::uint8_t shard, time_point now) {
+    auto const subject = subject_of(organisation, shard);
     auto const term = this->terms.find(organisation);
-    if (term == this->terms.end() || !this->membership.owns(organisation, now)) {
+    bool const owned =
+        shard < shards_per_organisation && term != this->terms.end() && this->membership.owns(subject, now);
+    if (!owned) {
         return nullptr;
     }
-    auto const usable_from = this->membership.usable_from(organisation);
-    auto const found = this->pools.find(organisation);
+    auto const usable_from = this->membership.usable_from(subject);
+    auto const found = this->pools.find(subject);
     if (found != this->pools.end() && found->second.usable_from == usable_from) {
         return &found->second.pool;
     }
     // A new term of ownership: what a former one held is void, and the pool counts as minting since this one
     // began, not since the first request.
-    owned_pool fresh{usable_from, rate_pool(usable_from)};
-    fresh.pool.set_terms(term->second.rate, term->second.burst, usable_from);
-    return &this->pools.insert_or_assign(organisation, std::move(fresh)).first->second.pool;
+    owned_pool fresh{organisation, usable_from, rate_pool(usable_from)};
+    fresh.pool.set_terms(term->second.rate / shards_per_organisation,
+                         term->second.burst / shards_per_organisation, usable_from);
+    return &this->pools.insert_or_assign(subject, std::move(fresh)).first->second.pool;
 }
 
 void rate_authority::take_grant(std::string const& from, grant_message const& grant, time_point now) {
@@ -225,13 +268,13 @@
         return;
     }
     auto& state = found->second;
-    if (state.sequence == 0 || state.sequence != grant.sequence || state.lender != from) {
+    if (state.sequence == 0 || state.sequence != grant.sequence || state.lender.host != from) {
         return;
     }
     auto const expires =
         state.asked + duration{std::min(grant.valid_ms, this->timing.loan_span.milliseconds)};
     if (grant.amount > 0 && now < expires) {
-        state.wallet.add(from, grant.loan, grant.amount, expires);
+        state.wallet.add(from, state.lender.shard, grant.loan, grant.amount, expires);
         state.supplied = true;
         this->supplied.push_back(grant.organisation);
     }
@@ -272,14 +315,16 @@
     }
     for (auto& [organisation, state] : this->borrowers) {
         if (state.sequence != 0 && now - state.asked > ask_timeout) {
+            this->avoided[state.lender.host] = now + avoid_span;
             auto const found = waiting.find(organisation);
             this->waiting_hint = found == waiting.end() ? 0 : found->second;
             this->continue_round(organisation, state, now);
         }
         auto const found = waiting.find(organisation);
         this->borrow(organisation, state, found == waiting.end() ? 0 : found->second, now);
-        this->report(organisation, state, now);
+        this->add_reports(organisation, state, nullptr, now);
     }
+    std::erase_if(this->avoided, [now](auto const& entry) { return now >= entry.second; });
     std::erase_if(this->borrowers, [now](auto const& entry) {
         return entry.second.sequence == 0 && entry.second.wallet.is_forgettable(now);
     });
@@ -302,7 +347,7 @@
 
 token_amount rate_authority::outstanding() const {
     token_amount total = 0;
-    for (auto const& [organisation, pool] : this->pools) {
+    for (auto const& [subject, pool] : this->pools) {
         total += pool.pool.outstanding();
     }
     return total;
--- a/libraries/membership/rate_authority.hpp
+++ b/libraries/membership/rate_authority.hpp
@@ -25,6 +25,10 @@
 /// Hosts by failure domain, as the newest list has them.
 using domain_hosts = std::map<std::string, std::set<std::string>>;
 
+/// Each domain's part of an organisation's terms is split over this many pools with owners of their own, so
+/// that the death of one host takes only some of it.
+inline constexpr std::uint8_t shards_per_organisation = 4;
+
 class rate_authority {
 public:
     rate_authority(std::string own_host, std::string own_domain, std::uint64_t own_incarnation,
@@ -68,17 +72,27 @@
 
 private:
     struct owned_pool {
+        std::string organisation;
         time_point usable_from; ///< Tells one term of ownership from another.
         rate_pool pool;
     };
+    /// A pool and the host that owns it in this node's view.
+    struct lender_address {
+        std::string host;
+        std::uint8_t shard{0};
+        bool is_remote{false};
+    };
     struct borrower {
         rate_wallet wallet;
         std::uint64_t sequence{0}; ///< Of the ask under way; 0 when none is.
-        std::string lender;
+        lender_address lender;
         time_point asked;
-        std::vector<std::string> untried; ///< Lenders left in this round, next one last.
-        bool supplied{false};             ///< Something came in this round.
+        std::vector<lender_address> untried; ///< Lenders left in this round, next one last.
+        std::size_t remote_count{0};         ///< Of these, the first ones, in other failure domains.
+        std::uint64_t rounds{0};
+        bool supplied{false}; ///< Something came in this round.
         time_point dry_until;
+        time_point next_stock;
         duration shortest_wait{0};
     };
 
@@ -86,15 +100,16 @@
     void ask_next(std::string const& organisation, borrower& state, token_amount wanted, time_point now);
     void end_round(borrower& state, time_point now);
     void continue_round(std::string const& organisation, borrower& state, time_point now);
-    std::vector<std::string> lenders(std::string const& organisation);
-    std::vector<std::string> find_remote_lenders(std::string const& organisation) const;
-    void report(std::string const& organisation, borrower& state, time_point now);
+    std::vector<lender_address> lenders(std::string const& organisation, std::uint64_t round, time_point now);
+    std::vector<lender_address> find_remote_lenders(std::string const& organisation) const;
+    void add_reports(std::string const& organisation, borrower& state, want_tokens_message* want,
+                     time_point now);
     void send(std::string const& to, rights_message content, time_point now);
 
     void serve_want(std::string const& from, want_tokens_message const& want, time_point now);
     void take_grant(std::string const& from, grant_message const& grant, time_point now);
     void serve_count(std::string const& from, count_me_message const& ask, time_point now);
-    rate_pool* own_pool(std::string const& organisation, time_point now);
+    rate_pool* own_pool(std::string const& organisation, std::uint8_t shard, time_point now);
 
     std::string host;
     std::string domain;
@@ -103,8 +118,9 @@
     counted_members membership;
     domain_hosts hosts;
     std::unordered_map<std::string, rate_terms> terms;
-    std::unordered_map<std::string, owned_pool> pools;
-    std::unordered_map<std::string, std::vector<std::string>>
+    std::unordered_map<std::string, owned_pool> pools;   ///< By subject.
+    std::unordered_map<std::string, time_point> avoided; ///< Lenders that did not answer, until when.
+    std::unordered_map<std::string, std::vector<lender_address>>
         remote_lenders; ///< Cleared with every host list.
     std::unordered_map<std::string, borrower> borrowers;
     std::vector<rights_letter> letters;
--- a/libraries/membership/rights_message.hpp
+++ b/libraries/membership/rights_message.hpp
@@ -14,13 +14,14 @@
 /// Asks for part of an organisation's rate, and reports on earlier loans; a pure report asks for nothing.
 struct want_tokens_message {
     std::string organisation;
+    std::uint8_t shard{0};
     token_amount amount{0};
     std::uint64_t sequence{0};
     std::vector<loan_use> uses;
 
     template <typename Visitor>
     void visit(Visitor&& visitor) {
-        visitor(this->organisation, this->amount, this->sequence, this->uses);
+        visitor(this->organisation, this->shard, this->amount, this->sequence, this->uses);
     }
 };
 
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -333,6 +333,9 @@
         this->controller.note_completion();
         this->context.suspects.note_survival(work->fingerprint);
     }
+    if (answer.code == result_code::cancelled && now >= work->deadline) {
+        answer.code = result_code::deadline_passed;
+    }
     if (answer.code == result_code::target_crashed) {
         this->note_death(answer.id, now);
     }
--- a/libraries/node/originator.cpp
+++ b/libraries/node/originator.cpp
@@ -14,6 +14,8 @@
 constexpr duration park_limit{150};
 /// Requests of one organisation that wait for tokens at once.
 constexpr std::size_t max_parked = 256;
+/// A host that held a request and can't be reached for this long is not waited for any more.
+constexpr duration lost_host_limit{3000};
 /// Copies of one ticket that a node sends after the first.
 constexpr int max_resends = 3;
 constexpr std::uint8_t max_depth = 16;
@@ -137,6 +139,10 @@
     if (parent.request.depth + 1 >= max_depth) {
         return this->reject(request, result_code::request_malformed, now);
     }
+    if (parent.request.organisation.empty() && !matched.open) {
+        // Nobody's key came with the request that is being served.
+        return this->reject(request, result_code::key_missing, now);
+    }
     auto const call_key = request.idempotency_key;
     auto call = this->make_call(std::move(request), matched, now);
     call.parent = parent.id;
@@ -383,7 +389,9 @@
     bool const sent = this->context.deliver(host, call.request, now, 0, &call.connection);
     if (!sent) {
         allowance.give_back(part, part);
-        if (now - call.parked >= park_limit && !call.was_sent) {
+        if (call.was_sent && now - call.parked >= lost_host_limit) {
+            this->refuse(call, {result_code::peer_lost}, now);
+        } else if (!call.was_sent && now - call.parked >= park_limit) {
             this->refuse(call, {result_code::no_target, overload_retry_after_ms}, now);
         }
         return;
@@ -482,6 +490,7 @@
             this->context.chooser.note_abandoned(call.host);
             call.stage = origin_call::state::waiting_for_link;
             call.connection = 0;
+            call.parked = now;
             continue;
         }
         answer_message lost{.result = outcome::unknown, .code = result_code::peer_lost};
--- a/libraries/policy/rate_wallet.cpp
+++ b/libraries/policy/rate_wallet.cpp
@@ -40,8 +40,10 @@
     return true;
 }
 
-void rate_wallet::add(std::string const& lender, loan_id loan, token_amount amount, time_point expires) {
-    this->loans.push_back({.lender = lender, .loan = loan, .amount = amount, .expires = expires});
+void rate_wallet::add(std::string const& lender, std::uint8_t shard, loan_id loan, token_amount amount,
+                      time_point expires) {
+    this->loans.push_back(
+        {.lender = lender, .shard = shard, .loan = loan, .amount = amount, .expires = expires});
 }
 
 token_amount rate_wallet::level(time_point now) {
@@ -74,7 +76,7 @@
         auto const settled = loan.spent + loan.returned;
         if (settled > loan.reported) {
             loan.reported = settled;
-            reports.push_back({loan.lender, {loan.loan, loan.spent, loan.returned}});
+            reports.push_back({loan.lender, loan.shard, {loan.loan, loan.spent, loan.returned}});
         }
     }
     std::erase_if(this->loans, [](loan_state const& loan) { return loan.left() == 0; });
--- a/libraries/policy/rate_wallet.hpp
+++ b/libraries/policy/rate_wallet.hpp
@@ -13,6 +13,7 @@
 /// A report that is due to a lender.
 struct wallet_report {
     std::string lender;
+    std::uint8_t shard{0};
     loan_use use;
 };
 
@@ -22,7 +23,8 @@
     bool spend(time_point now);
 
     /// Adds a loan; `expires` must be reckoned from before this node asked for it.
-    void add(std::string const& lender, loan_id loan, token_amount amount, time_point expires);
+    void add(std::string const& lender, std::uint8_t shard, loan_id loan, token_amount amount,
+             time_point expires);
 
     token_amount level(time_point now);
 
@@ -42,6 +44,7 @@
 private:
     struct loan_state {
         std::string lender;
+        std::uint8_t shard{0};
         loan_id loan{0};
         token_amount amount{0};
         token_amount spent{0};
--- a/tests/standins/fleet.hpp
+++ b/tests/standins/fleet.hpp
@@ -44,6 +44,7 @@
     std::unique_ptr<fault_proxy> proxy;
     bool listed{true};
     bool leaving{false};
+    bool stranger{false}; ///< Started with another fleet secret.
 };
 
 inline constexpr std::uint16_t callers_port = 7000;
@@ -67,6 +68,12 @@
     /// Merges the TOML and publishes it under the next revision. Aborts the test when it is wrong.
     std::uint64_t publish(std::string const& toml);
     void publish_hosts();
+    /// What was published under a revision before.
+    bundle const& old_bundle(std::uint64_t number) const { return this->history.at(number); }
+    /// The next publication gets a revision above this one.
+    void skip_revisions(std::uint64_t last) { this->configuration_revision = last; }
+    /// Nodes started from now on know the others from their settings.
+    void set_seeds(bool wanted) { this->seeds = wanted; }
     std::uint64_t revision() const { return this->configuration_revision; }
 
     void start(std::size_t index);
@@ -98,11 +105,15 @@
 private:
     void write_settings(fleet_node& node);
     std::vector<listed_host> host_list() const;
+    std::string secret_of(fleet_node const& node) const;
+    std::string seed_list() const;
 
     fleet_options options;
     std::string folder;
     std::string prefix; ///< "127.X".
     std::uint64_t configuration_revision{0};
+    std::map<std::uint64_t, bundle> history;
+    bool seeds{false};
     std::unique_ptr<platform_standin> platform_service;
     std::map<std::string, std::unique_ptr<fault_proxy>> platform_proxies;
     std::map<std::string, std::string> domains_by_ip;
--- a/tests/standins/http_service.cpp
+++ b/tests/standins/http_service.cpp
@@ -22,8 +22,14 @@
 }
 
 http_service::~http_service() {
+    this->stop();
+}
+
+void http_service::stop() {
     this->io.stop();
-    this->worker.join();
+    if (this->worker.joinable()) {
+        this->worker.join();
+    }
 }
 
 void http_service::open() {
--- a/tests/standins/http_service.hpp
+++ b/tests/standins/http_service.hpp
@@ -31,6 +31,8 @@
     http_service(http_service const&) = delete;
     http_service& operator=(http_service const&) = delete;
 
+    /// Ends the thread; what waits on the context is destroyed with this object.
+    void stop();
     asio::io_context& context() { return this->io; }
     /// Cuts every connection and refuses new ones until `resume`; thread-safe.
     void crash();
--- /dev/null
+++ b/tests/system/configuration_test.cpp
@@ -0,0 +1,142 @@
+/// Keys and configuration: in force everywhere within seconds, never going back, refused whole when wrong.
+
+#include "system/support.hpp"
+
+#include <csignal>
+#include <thread>
+
+using namespace caraway;
+using namespace caraway::tests;
+
+namespace {
+
+/// The promise is "within seconds"; the target for the fleet is four.
+constexpr auto spread_limit = std::chrono::seconds(4);
+constexpr auto withdrawal_limit = std::chrono::seconds(5);
+
+std::string without_key(std::string configuration, std::string const& name) {
+    auto const begin = configuration.find("[keys." + name + "]");
+    auto const end = configuration.find('[', begin + 1);
+    return configuration.erase(begin, end - begin);
+}
+
+/// Whether the key stops working at every node, on open connections, within the limit.
+bool stops_everywhere(fleet& system, std::vector<std::unique_ptr<test_client>>& streams,
+                      std::string const& path) {
+    return wait_until(
+        [&] {
+            for (std::size_t index = 0; index < streams.size(); ++index) {
+                if (system.node(index).process > 0 &&
+                    streams[index]->request("GET", path, with_key(second_key)).status != 401) {
+                    return false;
+                }
+            }
+            return true;
+        },
+        withdrawal_limit);
+}
+
+std::vector<std::unique_ptr<test_client>> open_streams(fleet& system, std::string const& path) {
+    std::vector<std::unique_ptr<test_client>> streams;
+    for (std::size_t index = 0; index < system.size(); ++index) {
+        streams.push_back(std::make_unique<test_client>(system.node(index).ip, callers_port));
+        CHECK(streams.back()->request("GET", path, with_key(second_key)).status == 200);
+    }
+    return streams;
+}
+
+} // namespace
+
+TEST_CASE("a withdrawn key stops within seconds on connections that stay open") {
+    fleet system({.configuration = base_configuration(), .hosts = flat_hosts()});
+    REQUIRE(system.wait_ready());
+    auto streams = open_streams(system, "/front");
+    SUBCASE("everywhere whole") {
+        system.publish(without_key(base_configuration(), "second"));
+        CHECK(stops_everywhere(system, streams, "/front"));
+    }
+    SUBCASE("only one failure domain still reaches the platform") {
+        system.platform_proxy("a").set_fault(link_fault::cut, [](std::string const&) { return true; });
+        system.publish(without_key(base_configuration(), "second"));
+        CHECK(stops_everywhere(system, streams, "/front"));
+    }
+    SUBCASE("a node that restarts does not go back, though the platform serves a stale table") {
+        system.platform().set_fault(platform_fault::stale);
+        auto const stale_readers = system.platform().call_count();
+        CHECK(stale_readers > 0);
+        // The newest table reached the fleet by the one reader that saw it before.
+        system.platform().set_fault(platform_fault::none);
+        auto const revision = system.publish(without_key(base_configuration(), "second"));
+        REQUIRE(wait_revision(system, revision, spread_limit));
+        CHECK(stops_everywhere(system, streams, "/front"));
+        system.platform().publish(system.old_bundle(1));
+        system.kill(0);
+        system.start(0);
+        bool ever_accepted = false;
+        auto const until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        while (std::chrono::steady_clock::now() < until) {
+            ever_accepted =
+                ever_accepted || system.call(0, "GET", "/front", with_key(second_key)).status == 200;
+        }
+        CHECK_FALSE(ever_accepted);
+        CHECK(system.call(0, "GET", "/front", with_key()).status == 200);
+        CHECK(system.status_field(0, "configuration_revision") == std::to_string(revision));
+    }
+}
+
+TEST_CASE("a configuration is in force on every node within the limit, and costs the platform few calls") {
+    fleet system({.configuration = base_configuration(), .hosts = chain_hosts()});
+    REQUIRE(system.wait_ready());
+    auto const calls_before = system.platform().call_count();
+    for (int round = 0; round < 5; ++round) {
+        auto const revision = system.publish(base_configuration(1000 + round));
+        CHECK(wait_revision(system, revision, spread_limit));
+    }
+    // Three readers in each of two domains; for each change a watch and a value, and the watches under way.
+    auto const calls = system.platform().call_count() - calls_before;
+    INFO("platform calls: " << calls);
+    CHECK(calls <= 5 * 6 * 3);
+}
+
+TEST_CASE("a wrong configuration is refused whole everywhere, and the last good one stays") {
+    fleet system({.configuration = base_configuration(), .hosts = flat_hosts()});
+    REQUIRE(system.wait_ready());
+    auto broken = system.old_bundle(1);
+    auto const revision_place = broken.manifest_text.find("\"revision\":\"1\"");
+    REQUIRE(revision_place != std::string::npos);
+    broken.manifest_text.replace(revision_place, 14, "\"revision\":\"7\"");
+    SUBCASE("a value that does not match") {
+        auto const old_digest = value_digest(broken.values["routes.0"]);
+        broken.values["routes.0"] += " ";
+        broken.manifest_text.replace(broken.manifest_text.find(old_digest), old_digest.size(),
+                                     value_digest("something else"));
+    }
+    SUBCASE("a value that is nonsense, though its digest is right") {
+        auto const old_digest = value_digest(broken.values["routes.0"]);
+        broken.values["routes.0"] = "{\"section\":\"routes\",\"items\":{\"x\":{\"speed\":1}}}";
+        broken.manifest_text.replace(broken.manifest_text.find(old_digest), old_digest.size(),
+                                     value_digest(broken.values["routes.0"]));
+    }
+    system.platform().publish(broken);
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    for (std::size_t index = 0; index < system.size(); ++index) {
+        CHECK(system.status_field(index, "configuration_revision") == "1");
+        CHECK(system.call(index, "GET", "/front", with_key()).status == 200);
+    }
+    // The next good one is taken.
+    system.skip_revisions(7);
+    auto const next = system.publish(base_configuration(500));
+    CHECK(wait_revision(system, next, spread_limit));
+}
+
+TEST_CASE("the platform is down: everything goes on, and a restarted node learns from its peers") {
+    fleet system({.configuration = base_configuration(), .hosts = flat_hosts()});
+    REQUIRE(system.wait_ready());
+    system.platform().set_fault(platform_fault::down);
+    CHECK(system.call(1, "GET", "/front", with_key()).status == 200);
+    system.kill(0);
+    system.set_seeds(true);
+    system.start(0);
+    CHECK(system.wait_ready());
+    CHECK(system.call(0, "GET", "/front", with_key()).status == 200);
+}
