node: Read the originator as a newcomer and mend what reads badly

Long functions cut into steps (nested tickets, the reply, the span); one reader of tickets in place of three; make_host and the reading of resident memory stand once. A nested call that its target repeats under the same key now says 'not-forwarded' where it is refused before it is sent: 'not-run' would speak for the earlier copy as well.

--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -96,12 +96,7 @@
 }
 
 bool executor::claim_ticket(execution& work, time_point now) {
-    auto const parsed = attempt_or(
-        [&]() -> result<std::optional<ticket>> {
-            BOOST_LEAF_AUTO(value, ticket::parse(work.request.ticket, this->context.options.fleet_secret));
-            return std::optional<ticket>(std::move(value));
-        },
-        [](problem const&) { return std::optional<ticket>{}; });
+    auto const parsed = ticket::read(work.request.ticket, this->context.options.fleet_secret);
     bool const bound =
         parsed && parsed->binding == ticket::binding_of(work.request.organisation, work.request.route);
     if (!bound) {
--- a/libraries/node/originator.cpp
+++ b/libraries/node/originator.cpp
@@ -46,12 +46,30 @@
            code == result_code::queue_timeout;
 }
 
+span make_span(origin_call const& call, answer_message const& answer) {
+    span hop{.trace_id = call.request.trace_id,
+             .span_id = call.request.parent_span,
+             .parent_id = call.parent_span,
+             .name = call.request.method + " " + call.request.route,
+             .kind = call.parent == 0 ? span_kind::server : span_kind::client,
+             .start_nanoseconds = call.arrived_wall,
+             .end_nanoseconds = wall_clock_nanoseconds(),
+             .failed = answer.result != outcome::ran};
+    hop.attributes = {{"caraway.request_id", call.request.request_id},
+                      {"caraway.organisation", call.request.organisation},
+                      {"caraway.outcome", std::string(name_of(answer.result))},
+                      {"caraway.code", std::string(describe(answer.code).name)},
+                      {"caraway.target", call.host}};
+    return hop;
+}
+
 } // namespace
 
 originator::originator(node_context& shared, executor& own_executor) : context(shared), local(own_executor) {}
 
 outcome originator::unsent_outcome(origin_call const& call) {
-    return call.idempotent || call.parent != 0 ? outcome::not_run : outcome::not_forwarded;
+    bool const may_have_copies = !call.idempotent && (call.parent == 0 || call.is_repeated);
+    return may_have_copies ? outcome::not_forwarded : outcome::not_run;
 }
 
 void originator::answer_door(door_side side, door_answer&& answer) {
@@ -168,12 +186,7 @@
         this->hand_out_ticket(call, result_code::ticket_required, outcome::not_run, now);
         return false;
     }
-    auto const parsed = attempt_or(
-        [&]() -> result<std::optional<ticket>> {
-            BOOST_LEAF_AUTO(value, ticket::parse(text, this->context.options.fleet_secret));
-            return std::optional<ticket>(std::move(value));
-        },
-        [](problem const&) { return std::optional<ticket>{}; });
+    auto const parsed = ticket::read(text, this->context.options.fleet_secret);
     bool const bound =
         parsed && parsed->binding == ticket::binding_of(call.request.organisation, call.request.route);
     if (!bound) {
@@ -337,27 +350,7 @@
         host = call.right->host;
         this->context.peers.want(*host, now);
     } else if (!call.idempotent) {
-        auto const kept = this->local.find(call.parent);
-        auto const known = kept == nullptr ? std::map<std::string, std::string>::iterator{}
-                                           : kept->call_tickets.find(call.call_key);
-        bool const again = kept != nullptr && !call.call_key.empty() && known != kept->call_tickets.end();
-        if (again) {
-            call.request.ticket = known->second;
-            call.right = attempt_or(
-                [&]() -> result<std::optional<ticket>> {
-                    BOOST_LEAF_AUTO(value, ticket::parse(known->second, this->context.options.fleet_secret));
-                    return std::optional<ticket>(std::move(value));
-                },
-                [](problem const&) { return std::optional<ticket>{}; });
-        } else {
-            call.right = this->new_ticket(call, now);
-            if (call.right) {
-                call.request.ticket = call.right->to_text(this->context.options.fleet_secret);
-            }
-            if (call.right && kept != nullptr && !call.call_key.empty()) {
-                kept->call_tickets[call.call_key] = call.request.ticket;
-            }
-        }
+        this->take_nested_ticket(call, now);
         host = call.right ? std::optional(call.right->host) : std::nullopt;
     } else {
         host = this->choose_host(call, now);
@@ -370,6 +363,29 @@
     }
 }
 
+void originator::take_nested_ticket(origin_call& call, time_point now) {
+    auto* parent = this->local.find(call.parent);
+    bool const is_named = parent != nullptr && !call.call_key.empty();
+    if (is_named) {
+        auto const known = parent->call_tickets.find(call.call_key);
+        if (known != parent->call_tickets.end()) {
+            // The target repeats a call: the same ticket makes it the same run.
+            call.request.ticket = known->second;
+            call.right = ticket::read(known->second, this->context.options.fleet_secret);
+            call.is_repeated = true;
+            return;
+        }
+    }
+    call.right = this->new_ticket(call, now);
+    if (!call.right) {
+        return;
+    }
+    call.request.ticket = call.right->to_text(this->context.options.fleet_secret);
+    if (is_named) {
+        parent->call_tickets[call.call_key] = call.request.ticket;
+    }
+}
+
 retry_allowance& originator::allowance_of(origin_call& call) {
     auto* parent = call.parent == 0 ? nullptr : this->local.find(call.parent);
     return parent == nullptr ? call.allowance : parent->allowance;
@@ -516,12 +532,8 @@
                  now);
 }
 
-void originator::finish(origin_call& call, answer_message&& answer, time_point now) {
+door_answer originator::make_reply(origin_call const& call, answer_message&& answer, time_point now) {
     auto const& entry = describe(answer.code);
-    this->context.numbers.count_answer(answer.result, answer.code);
-    this->context.numbers.observe(timing::request, now - call.arrived);
-    bool const is_refused_root_ticket =
-        !call.idempotent && call.parent == 0 && answer.result == outcome::not_run;
     door_answer reply{.id = call.door_id,
                       .status = answer.code == result_code::ok ? answer.status : entry.http_status,
                       .headers = std::move(answer.headers),
@@ -536,27 +548,22 @@
     if (answer.retry_after_ms > 0 && answer.result != outcome::ran) {
         reply.headers.push_back({"Retry-After", whole_seconds(answer.retry_after_ms)});
     }
-    if (is_refused_root_ticket) {
+    bool const is_refused_ticket = !call.idempotent && call.parent == 0 && answer.result == outcome::not_run;
+    if (is_refused_ticket) {
         // The old ticket is spent; with this one the caller may try again at once.
         if (auto const fresh = this->new_ticket(call, now)) {
             reply.headers.push_back(
                 {std::string(header::idempotency_key), fresh->to_text(this->context.options.fleet_secret)});
         }
     }
-    span hop{.trace_id = call.request.trace_id,
-             .span_id = call.request.parent_span,
-             .parent_id = call.parent_span,
-             .name = call.request.method + " " + call.request.route,
-             .kind = call.parent == 0 ? span_kind::server : span_kind::client,
-             .start_nanoseconds = call.arrived_wall,
-             .end_nanoseconds = wall_clock_nanoseconds(),
-             .failed = answer.result != outcome::ran};
-    hop.attributes = {{"caraway.request_id", call.request.request_id},
-                      {"caraway.organisation", call.request.organisation},
-                      {"caraway.outcome", std::string(name_of(answer.result))},
-                      {"caraway.code", std::string(entry.name)},
-                      {"caraway.target", call.host}};
-    this->context.out.spans.push_back(std::move(hop));
+    return reply;
+}
+
+void originator::finish(origin_call& call, answer_message&& answer, time_point now) {
+    this->context.numbers.count_answer(answer.result, answer.code);
+    this->context.numbers.observe(timing::request, now - call.arrived);
+    this->context.out.spans.push_back(make_span(call, answer));
+    auto reply = this->make_reply(call, std::move(answer), now);
     if (!call.caller_gone) {
         this->answer_door(call.side, std::move(reply));
     }
--- a/libraries/node/originator.hpp
+++ b/libraries/node/originator.hpp
@@ -41,6 +41,7 @@
     time_point sent;
     bool was_sent{false}; ///< Some attempt may have reached its host.
     bool caller_gone{false};
+    bool is_repeated{false}; ///< The target named this call before.
     int resends{0};
     std::string parent_span;
 };
@@ -77,6 +78,8 @@
     /// answered.
     bool check_ticket(origin_call& call, std::string const& text, time_point now);
     void hand_out_ticket(origin_call const& call, result_code code, outcome result, time_point now);
+    /// Gives a call of the own target its ticket; the same one when the target repeats a call it named.
+    void take_nested_ticket(origin_call& call, time_point now);
     std::optional<ticket> new_ticket(origin_call const& call, time_point now);
     void admit(origin_call&& call, time_point now);
     /// The baseline of experiments: every host allows its even part of the rate, whatever the others see.
@@ -92,6 +95,7 @@
     void reject(door_request const& request, result_code code, time_point now);
     void refuse(origin_call& call, refusal why, time_point now);
     void finish(origin_call& call, answer_message&& answer, time_point now);
+    door_answer make_reply(origin_call const& call, answer_message&& answer, time_point now);
     void drop(std::uint64_t id);
     void answer_door(door_side side, door_answer&& answer);
     void cancel_attempt(origin_call& call, time_point now);
--- a/libraries/policy/ticket.cpp
+++ b/libraries/policy/ticket.cpp
@@ -68,4 +68,13 @@
                   read_integer(content.substr(number_bytes + 2 * integer_bytes))};
 }
 
+std::optional<ticket> ticket::read(std::string const& text, std::string const& secret) {
+    return attempt_or(
+        [&]() -> result<std::optional<ticket>> {
+            BOOST_LEAF_AUTO(value, ticket::parse(text, secret));
+            return std::optional<ticket>(std::move(value));
+        },
+        [](problem const&) { return std::optional<ticket>{}; });
+}
+
 } // namespace caraway
--- a/libraries/policy/ticket.hpp
+++ b/libraries/policy/ticket.hpp
@@ -3,6 +3,7 @@
 
 #include "base/problem.hpp"
 
+#include <optional>
 #include <string>
 
 namespace caraway {
@@ -26,6 +27,9 @@
 
     /// Fails with ticket_invalid when the text was not made by `to_text` with this secret.
     static result<ticket> parse(std::string const& text, std::string const& secret);
+
+    /// The same for callers that refuse every bad ticket alike; empty when it is bad.
+    static std::optional<ticket> read(std::string const& text, std::string const& secret);
 };
 
 } // namespace caraway
--- a/tests/demo/main.cpp
+++ b/tests/demo/main.cpp
@@ -27,22 +27,14 @@
     return all.str() + "[failure_domains.ro-1]\nweight = 0.5\n[failure_domains.ro-2]\nweight = 0.5\n";
 }
 
-fleet_host make_host(std::string const& service, std::string const& domain, int slots, double work_ms,
-                     std::vector<nested_call> calls) {
-    fleet_host host{service + "-" + domain, domain, {}};
-    host.target.service = service;
-    host.target.slots = slots;
-    host.target.work_ms = work_ms;
-    host.target.calls = std::move(calls);
-    return host;
-}
-
 std::vector<fleet_host> demo_hosts() {
     std::vector<fleet_host> hosts;
     for (std::string const domain : {"ro-1", "ro-2"}) {
-        hosts.push_back(make_host("orders", domain, 60, 6, {{"GET", "/workshops/queue"}}));
-        hosts.push_back(make_host("workshops", domain, 60, 5, {{"GET", "/tracking/7"}}));
-        hosts.push_back(make_host("tracking", domain, 15, 4, {}));
+        hosts.push_back(
+            make_host("orders-" + domain, domain, "orders", 6, {{"GET", "/workshops/queue"}}, 60));
+        hosts.push_back(
+            make_host("workshops-" + domain, domain, "workshops", 5, {{"GET", "/tracking/7"}}, 60));
+        hosts.push_back(make_host("tracking-" + domain, domain, "tracking", 4, {}, 15));
     }
     return hosts;
 }
--- a/tests/http/door_test.cpp
+++ b/tests/http/door_test.cpp
@@ -3,6 +3,7 @@
 #include "base/digest.hpp"
 #include "http/door.hpp"
 #include "standins/test_client.hpp"
+#include "support/resident_memory.hpp"
 
 #include <doctest/doctest.h>
 
@@ -98,18 +99,6 @@
     door served;
 };
 
-std::size_t resident_kilobytes() {
-    std::ifstream status("/proc/self/status");
-    std::string word;
-    std::size_t size = 0;
-    while (status >> word) {
-        if (word == "VmRSS:") {
-            status >> size;
-        }
-    }
-    return size;
-}
-
 } // namespace
 
 TEST_CASE("pipelined requests are answered in order though the first is slow") {
@@ -189,7 +178,7 @@
 TEST_CASE("a body that never ends costs bounded memory") {
     open_door entry;
     test_client client("127.0.0.1", entry.port);
-    auto const before = resident_kilobytes();
+    auto const before = tests::resident_kilobytes();
     REQUIRE(client.send_raw("POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"));
     std::string const chunk = "4000\r\n" + std::string(0x4000, 'x') + "\r\n";
     int sent = 0;
@@ -197,7 +186,7 @@
         ++sent;
     }
     CHECK(sent < 2000);
-    CHECK(resident_kilobytes() - before < 8192);
+    CHECK(tests::resident_kilobytes() - before < 8192);
     CHECK(entry.request_count() == 0);
 }
 
--- a/tests/lab/bench.cpp
+++ b/tests/lab/bench.cpp
@@ -1,8 +1,9 @@
-/// Measures the time that the system adds to a call, and the memory of a node. Not a test: it prints, and judges
-/// nothing. Usage: caraway_bench [seconds]
+/// Measures the time that the system adds to a call, and the memory of a node. Not a test: it prints, and
+/// judges nothing. Usage: caraway_bench [seconds]
 
 #include "standins/fleet.hpp"
 #include "standins/load_generator.hpp"
+#include "support/resident_memory.hpp"
 
 #include <QCoreApplication>
 
@@ -32,7 +33,8 @@
 }
 
 std::string make_configuration() {
-    std::string text = "[organisations.org]\nrate = 1000000\nburst = 1000000\n" + key_entry("k", "org", "key");
+    std::string text =
+        "[organisations.org]\nrate = 1000000\nburst = 1000000\n" + key_entry("k", "org", "key");
     for (std::string const service : {"front", "middle", "back"}) {
         text += "[services." + service + "]\nslots = 10000\nconnections = 10000\n[routes." + service +
                 "]\nmethod = \"GET\"\npath = \"/" + service + "\"\nservice = \"" + service +
@@ -49,7 +51,11 @@
 };
 
 figures measure(load_entry const& entry, std::string const& path, double per_second, double span_ms) {
-    load_stream stream{.name = "call", .organisation = "org", .key = "key", .path = path, .per_second = per_second,
+    load_stream stream{.name = "call",
+                       .organisation = "org",
+                       .key = "key",
+                       .path = path,
+                       .per_second = per_second,
                        .entries = {entry}};
     load_generator generator({stream}, seed);
     std::vector<double> taken;
@@ -67,18 +73,6 @@
     return {quantile(taken, 0.5), quantile(taken, 0.99), taken.size(), all};
 }
 
-std::size_t resident_kilobytes(pid_t process) {
-    std::ifstream status("/proc/" + std::to_string(process) + "/status");
-    std::string word;
-    std::size_t size = 0;
-    while (status >> word) {
-        if (word == "VmRSS:") {
-            status >> size;
-        }
-    }
-    return size;
-}
-
 double processor_seconds(pid_t process) {
     std::ifstream stat("/proc/" + std::to_string(process) + "/stat");
     std::string text((std::istreambuf_iterator<char>(stat)), std::istreambuf_iterator<char>());
@@ -93,14 +87,14 @@
     return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
 }
 
-void compare(std::string const& name, load_entry const& direct, load_entry const& through, std::string const& path,
-             double per_second, double span_ms) {
+void compare(std::string const& name, load_entry const& direct, load_entry const& through,
+             std::string const& path, double per_second, double span_ms) {
     auto const plain = measure(direct, path, per_second, span_ms);
     auto const ours = measure(through, path, per_second, span_ms);
-    std::cout << std::fixed << std::setprecision(3) << "| " << name << " | " << std::setprecision(0) << per_second
-              << " | " << std::setprecision(3) << plain.middle << " | " << plain.tail << " | " << ours.middle << " | "
-              << ours.tail << " | " << ours.middle - plain.middle << " | " << ours.tail - plain.tail << " | "
-              << ours.whole << " of " << ours.all << " |" << std::endl;
+    std::cout << std::fixed << std::setprecision(3) << "| " << name << " | " << std::setprecision(0)
+              << per_second << " | " << std::setprecision(3) << plain.middle << " | " << plain.tail << " | "
+              << ours.middle << " | " << ours.tail << " | " << ours.middle - plain.middle << " | "
+              << ours.tail - plain.tail << " | " << ours.whole << " of " << ours.all << " |" << std::endl;
 }
 
 } // namespace
@@ -141,8 +135,9 @@
     }
     std::cout << "Seed " << seed << ". Idle node: " << std::setprecision(3)
               << (idle_after - idle_before) / 5 / static_cast<double>(system.size()) * 100 << " % of a core, "
-              << resident_kilobytes(system.node(0).process) << " kB resident.\n\n";
-    std::cout << "| Call | Calls/s | direct p50 ms | direct p99 | through p50 | through p99 | added p50 | added p99 | "
+              << tests::resident_kilobytes(std::to_string(system.node(0).process)) << " kB resident.\n\n";
+    std::cout << "| Call | Calls/s | direct p50 ms | direct p99 | through p50 | through p99 | added p50 | "
+                 "added p99 | "
                  "whole |\n|---|---|---|---|---|---|---|---|---|\n";
     load_entry const local{system.node(2).ip, callers_port};
     load_entry const remote{system.node(0).ip, callers_port};
@@ -151,8 +146,8 @@
         compare("one hop, through another node", {ip, 7100}, remote, "/back", per_second, span_ms);
         compare("three hops", {ip, 7102}, remote, "/front", per_second, span_ms);
     }
-    std::cout << "\nAfter the load: " << resident_kilobytes(system.node(0).process) << ", "
-              << resident_kilobytes(system.node(1).process) << " and "
-              << resident_kilobytes(system.node(2).process) << " kB resident.\n";
+    std::cout << "\nAfter the load: " << tests::resident_kilobytes(std::to_string(system.node(0).process))
+              << ", " << tests::resident_kilobytes(std::to_string(system.node(1).process)) << " and "
+              << tests::resident_kilobytes(std::to_string(system.node(2).process)) << " kB resident.\n";
     return 0;
 }
--- a/tests/lab/capacity.cpp
+++ b/tests/lab/capacity.cpp
@@ -1,4 +1,5 @@
-/// Measures how state, messages, time and memory grow with the size of the fleet; docs/CAPACITY.md uses the slopes.
+/// Measures how state, messages, time and memory grow with the size of the fleet; docs/CAPACITY.md uses the
+/// slopes.
 
 #include "base/clock.hpp"
 #include "config/bundle.hpp"
@@ -6,6 +7,7 @@
 #include "link/link_hub.hpp"
 #include "membership/rate_authority.hpp"
 #include "node/host_list.hpp"
+#include "support/resident_memory.hpp"
 
 #include <atomic>
 #include <chrono>
@@ -19,20 +21,13 @@
 
 using namespace caraway;
 
+/// What is left when the heap has given back what it does not use.
 std::size_t resident_kilobytes() {
     ::malloc_trim(0);
-    std::ifstream status("/proc/self/status");
-    std::string word;
-    std::size_t size = 0;
-    while (status >> word) {
-        if (word == "VmRSS:") {
-            status >> size;
-        }
-    }
-    return size;
+    return tests::resident_kilobytes();
 }
 
-template<typename Action>
+template <typename Action>
 double milliseconds_of(Action&& action) {
     auto const begin = monotonic_clock::now();
     action();
@@ -41,9 +36,8 @@
 
 item_set make_items(std::size_t organisations, std::size_t keys) {
     item_set items;
-    auto const put = [&](std::string const& section, std::string const& item, std::string const& name, auto value) {
-        items[section][item][name].value = value;
-    };
+    auto const put = [&](std::string const& section, std::string const& item, std::string const& name,
+                         auto value) { items[section][item][name].value = value; };
     put("failure_domains", "d", "weight", 1.0);
     for (std::size_t index = 0; index < organisations; ++index) {
         put("organisations", "org-" + std::to_string(index), "rate", 100.0);
@@ -80,7 +74,8 @@
 }
 
 void measure_keys() {
-    std::cout << "\n| Keys | Bundle bytes | Values | Bytes for one changed key | Check ms | Memory of the table kB |\n"
+    std::cout << "\n| Keys | Bundle bytes | Values | Bytes for one changed key | Check ms | Memory of the "
+                 "table kB |\n"
                  "|---|---|---|---|---|---|\n";
     for (std::size_t const keys : {10U, 1000U, 10'000U, 100'000U}) {
         auto items = make_items(1000, keys);
@@ -95,13 +90,14 @@
                                   [](problem const&) { return configuration_pointer{}; });
         });
         std::cout << "| " << keys << " | " << total_bytes(made) << " | " << made.values.size() << " | "
-                  << changed_bytes(made, changed) << " | " << std::setprecision(1) << std::fixed << taken << " | "
-                  << resident_kilobytes() - before << " |\n";
+                  << changed_bytes(made, changed) << " | " << std::setprecision(1) << std::fixed << taken
+                  << " | " << resident_kilobytes() - before << " |\n";
     }
 }
 
 void measure_hosts() {
-    std::cout << "\n| Hosts | List bytes | Bytes for one changed host | Cut ms | Read ms |\n|---|---|---|---|---|\n";
+    std::cout << "\n| Hosts | List bytes | Bytes for one changed host | Cut ms | Read ms "
+                 "|\n|---|---|---|---|---|\n";
     for (int const count : {17, 410, 4100}) {
         host_list list{.revision = 1};
         for (int index = 0; index < count; ++index) {
@@ -121,13 +117,14 @@
                 },
                 [](problem const&) { return false; });
         });
-        std::cout << "| " << count << " | " << total_bytes(cut) << " | " << changed_bytes(cut, changed) << " | "
-                  << cut_ms << " | " << read_ms << " |\n";
+        std::cout << "| " << count << " | " << total_bytes(cut) << " | " << changed_bytes(cut, changed)
+                  << " | " << cut_ms << " | " << read_ms << " |\n";
     }
 }
 
 void measure_rights() {
-    std::cout << "\n| Hosts in the domain | Organisations | Want served us | Tick us (8 active) | Count served us |\n"
+    std::cout << "\n| Hosts in the domain | Organisations | Want served us | Tick us (8 active) | Count "
+                 "served us |\n"
                  "|---|---|---|---|---|\n";
     for (int const hosts : {4, 60, 590}) {
         for (int const organisations : {8, 1000}) {
@@ -149,9 +146,9 @@
             constexpr int rounds = 2000;
             double const want = milliseconds_of([&] {
                 for (int round = 0; round < rounds; ++round) {
-                    node.receive("host-1",
-                                 want_tokens_message{.organisation = "org-3", .shard = 1, .amount = one_token},
-                                 {now});
+                    node.receive(
+                        "host-1",
+                        want_tokens_message{.organisation = "org-3", .shard = 1, .amount = one_token}, {now});
                 }
             });
             double const tick = milliseconds_of([&] {
@@ -168,8 +165,8 @@
                 }
             });
             std::cout << "| " << hosts << " | " << organisations << " | " << std::setprecision(2)
-                      << want * 1000 / rounds << " | " << tick * 1000 / rounds << " | " << count * 1000 / rounds
-                      << " |\n";
+                      << want * 1000 / rounds << " | " << tick * 1000 / rounds << " | "
+                      << count * 1000 / rounds << " |\n";
         }
     }
 }
@@ -205,17 +202,24 @@
 }
 
 void measure_messages() {
-    forward_message request{.call_id = 1, .request_id = "0123456789abcdef", .organisation = "org", .route = "route",
-                            .method = "GET", .path = "/path", .trace_id = std::string(32, 'a'),
+    forward_message request{.call_id = 1,
+                            .request_id = "0123456789abcdef",
+                            .organisation = "org",
+                            .route = "route",
+                            .method = "GET",
+                            .path = "/path",
+                            .trace_id = std::string(32, 'a'),
                             .parent_span = std::string(16, 'b')};
     answer_message answer{.admissions = {{"service", {1, 1, 1}}, {"deeper", {1, 1, 1}}}};
     std::cout << "\n| Message | Bytes |\n|---|---|\n"
               << "| ping | " << encode(ping_message{}).size() + 4 << " |\n| gossip | "
               << encode(gossip_message{}).size() + 4 << " |\n| want tokens | "
-              << encode(want_tokens_message{.organisation = "org", .amount = one_token, .uses = {{1, 2, 3}}}).size() + 4
+              << encode(want_tokens_message{.organisation = "org", .amount = one_token, .uses = {{1, 2, 3}}})
+                         .size() +
+                     4
               << " |\n| count me | " << encode(count_me_message{.members_digest = ~0ULL}).size() + 4
-              << " |\n| forward without body | " << encode(request).size() + 4 << " |\n| answer without body | "
-              << encode(answer).size() + 4 << " |\n";
+              << " |\n| forward without body | " << encode(request).size() + 4
+              << " |\n| answer without body | " << encode(answer).size() + 4 << " |\n";
     constexpr int rounds = 20'000;
     double const taken = milliseconds_of([&] {
         for (int round = 0; round < rounds; ++round) {
--- a/tests/lab/experiment.cpp
+++ b/tests/lab/experiment.cpp
@@ -19,7 +19,8 @@
 using namespace standins;
 
 constexpr std::size_t organisation_count = 8;
-constexpr std::array<double, organisation_count> organisation_shares{0.30, 0.25, 0.10, 0.10, 0.08, 0.07, 0.05, 0.05};
+constexpr std::array<double, organisation_count> organisation_shares{0.30, 0.25, 0.10, 0.10,
+                                                                     0.08, 0.07, 0.05, 0.05};
 constexpr double tick_ms = 100;
 constexpr double recovered_part = 0.95;
 constexpr int recovered_ticks = 10;
@@ -50,27 +51,32 @@
     double capacity{0}; ///< Of the bottleneck, requests per second.
 
     double base(std::size_t organisation, std::size_t kind) const {
-        return this->wanted.load * this->capacity * organisation_shares.at(organisation) * kind_shares.at(kind);
+        return this->wanted.load * this->capacity * organisation_shares.at(organisation) *
+               kind_shares.at(kind);
+    }
+    double base(std::size_t organisation) const {
+        return this->wanted.load * this->capacity * organisation_shares.at(organisation);
     }
-    double base(std::size_t organisation) const { return this->wanted.load * this->capacity * organisation_shares.at(organisation); }
 };
 
-std::string organisation_name(std::size_t index) { return "org-" + std::to_string(index); }
+std::string organisation_name(std::size_t index) {
+    return "org-" + std::to_string(index);
+}
 
 std::string make_configuration(plan const& run) {
     std::ostringstream text;
     for (std::size_t index = 0; index < organisation_count; ++index) {
         double const rate = run.base(index) * run.wanted.rate_factor;
-        text << "[organisations." << organisation_name(index) << "]\nrate = " << rate << "\nburst = "
-             << std::max(20.0, rate / 2) << "\n"
+        text << "[organisations." << organisation_name(index) << "]\nrate = " << rate
+             << "\nburst = " << std::max(20.0, rate / 2) << "\n"
              << key_entry(organisation_name(index), organisation_name(index), "key-" + std::to_string(index));
     }
     for (std::size_t depth = 0; depth < kind_count; ++depth) {
         auto const& service = run.place.chain.at(depth);
-        text << "[services." << service << "]\nslots = " << run.place.slots.at(depth) << "\nconnections = 1000\n[routes."
-             << service << "]\nmethod = \"GET\"\npath = \"/" << service << "\"\nservice = \"" << service
-             << "\"\nidempotent = true\nclass = \"" << (kind_classes.at(depth) == 0 ? "critical" : "normal")
-             << "\"\ndeadline_ms = 1000\n";
+        text << "[services." << service << "]\nslots = " << run.place.slots.at(depth)
+             << "\nconnections = 1000\n[routes." << service << "]\nmethod = \"GET\"\npath = \"/" << service
+             << "\"\nservice = \"" << service << "\"\nidempotent = true\nclass = \""
+             << (kind_classes.at(depth) == 0 ? "critical" : "normal") << "\"\ndeadline_ms = 1000\n";
     }
     for (int domain = 0; domain < run.place.domains; ++domain) {
         text << "[failure_domains.d" << domain << "]\nweight = " << 1.0 / run.place.domains << "\n";
@@ -109,7 +115,8 @@
                                .resends = run.wanted.resends};
             for (std::size_t index = 0; index < system.size(); ++index) {
                 auto const& node = system.node(index);
-                bool const elsewhere = run.wanted.one_entry && organisation == 0 && node.host.failure_domain != "d0";
+                bool const elsewhere =
+                    run.wanted.one_entry && organisation == 0 && node.host.failure_domain != "d0";
                 bool const dies = run.wanted.kill && index == kind_count - 1;
                 if (!elsewhere && !dies) {
                     stream.entries.push_back({node.ip, callers_port});
@@ -154,14 +161,16 @@
 };
 
 /// What each organisation would get: classes in their order, and within a class weighted max-min.
-std::array<std::array<double, class_count>, organisation_count> fair_shares(tally const& counted, double capacity) {
+std::array<std::array<double, class_count>, organisation_count> fair_shares(tally const& counted,
+                                                                            double capacity) {
     std::array<std::array<double, class_count>, organisation_count> fair{};
     for (std::size_t priority = 0; priority < class_count; ++priority) {
         std::vector<std::size_t> order;
         for (std::size_t index = 0; index < organisation_count; ++index) {
             order.push_back(index);
         }
-        std::ranges::sort(order, {}, [&](std::size_t index) { return counted.offered.at(index).at(priority); });
+        std::ranges::sort(order, {},
+                          [&](std::size_t index) { return counted.offered.at(index).at(priority); });
         double remaining = capacity;
         for (std::size_t place = 0; place < order.size(); ++place) {
             double const even = remaining / static_cast<double>(order.size() - place);
@@ -207,11 +216,12 @@
         auto const priority = kind_classes.at(result.stream % kind_count);
         ++found.offered;
         found.unanswered += result.answered ? 0 : 1;
-        auto const tick = std::min(ticks - 1, static_cast<std::size_t>((result.begin_ms + result.taken_ms) / tick_ms));
+        auto const tick =
+            std::min(ticks - 1, static_cast<std::size_t>((result.begin_ms + result.taken_ms) / tick_ms));
         found.goodput_by_tick[tick] += result.whole ? 1000 / tick_ms : 0;
         bool const is_greedy = organisation == 0 && run.wanted.greedy_factor > 1;
-        bool const in_overload =
-            result.begin_ms >= run.wanted.overload_from * 1000 && result.begin_ms < run.wanted.overload_to * 1000;
+        bool const in_overload = result.begin_ms >= run.wanted.overload_from * 1000 &&
+                                 result.begin_ms < run.wanted.overload_to * 1000;
         if (!is_greedy) {
             ++inside;
             refused += result.first_code == static_cast<int>(result_code::rate_exceeded) ? 1 : 0;
@@ -254,7 +264,8 @@
     found.important_goodput = important / fair_important;
     found.goodput = all / fair_all;
     found.recovery_seconds = recovery_after(run, results);
-    found.refused_inside_rate = static_cast<double>(refused) / static_cast<double>(std::max<std::size_t>(1, inside));
+    found.refused_inside_rate =
+        static_cast<double>(refused) / static_cast<double>(std::max<std::size_t>(1, inside));
     return found;
 }
 
@@ -263,7 +274,8 @@
 measures run_experiment(scenario const& wanted, std::string const& mode, std::uint64_t seed) {
     plan run{wanted, find_deployment(wanted.deployment)};
     run.capacity = run.place.domains * run.place.slots.back() / (run.place.work_ms / 1000);
-    fleet system({.configuration = make_configuration(run), .hosts = make_hosts(run), .mode = mode, .proxies = false});
+    fleet system(
+        {.configuration = make_configuration(run), .hosts = make_hosts(run), .mode = mode, .proxies = false});
     if (!system.wait_ready()) {
         std::cerr << "The fleet did not become ready.\n";
         return {};
@@ -289,7 +301,8 @@
     auto const y_of = [&](double value) { return height - 40 - value / highest * (height - 80); };
     std::ostringstream svg;
     svg << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << width << "\" height=\"" << height
-        << "\" font-family=\"sans-serif\" font-size=\"12\">\n<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n"
+        << "\" font-family=\"sans-serif\" font-size=\"12\">\n<rect width=\"100%\" height=\"100%\" "
+           "fill=\"white\"/>\n"
         << "<rect x=\"" << x_of(wanted.overload_from) << "\" y=\"40\" width=\""
         << x_of(wanted.overload_to) - x_of(wanted.overload_from) << "\" height=\"" << height - 80
         << "\" fill=\"#eeeeee\"/>\n<text x=\"50\" y=\"20\">" << wanted.name
@@ -298,14 +311,15 @@
         svg << "<polyline fill=\"none\" stroke=\"" << colours.at(row % colours.size()) << "\" points=\"";
         auto const& ticks = rows[row].second.goodput_by_tick;
         for (std::size_t tick = 0; tick < ticks.size(); ++tick) {
-            svg << x_of((static_cast<double>(tick) + 0.5) * tick_ms / 1000) << ',' << y_of(ticks[tick]) << ' ';
+            svg << x_of((static_cast<double>(tick) + 0.5) * tick_ms / 1000) << ',' << y_of(ticks[tick])
+                << ' ';
         }
-        svg << "\"/>\n<text x=\"" << 60 + 130 * row << "\" y=\"36\" fill=\"" << colours.at(row % colours.size())
-            << "\">" << rows[row].first << "</text>\n";
+        svg << "\"/>\n<text x=\"" << 60 + 130 * row << "\" y=\"36\" fill=\""
+            << colours.at(row % colours.size()) << "\">" << rows[row].first << "</text>\n";
     }
-    svg << "<text x=\"4\" y=\"" << y_of(highest) + 4 << "\">" << static_cast<int>(highest) << "</text>\n<text x=\"4\" y=\""
-        << y_of(0) << "\">0</text>\n<text x=\"" << width - 60 << "\" y=\"" << height - 16 << "\">" << wanted.seconds
-        << " s</text>\n</svg>\n";
+    svg << "<text x=\"4\" y=\"" << y_of(highest) + 4 << "\">" << static_cast<int>(highest)
+        << "</text>\n<text x=\"4\" y=\"" << y_of(0) << "\">0</text>\n<text x=\"" << width - 60 << "\" y=\""
+        << height - 16 << "\">" << wanted.seconds << " s</text>\n</svg>\n";
     return svg.str();
 }
 
--- a/tests/lab/experiment.hpp
+++ b/tests/lab/experiment.hpp
@@ -11,10 +11,10 @@
 
 /// The four measures, and what they were drawn from.
 struct measures {
-    double important_goodput{0}; ///< Important requests whole, of what the bottleneck can carry of them.
-    double goodput{0};           ///< All requests whole, of the same.
-    double recovery_seconds{0};  ///< From the end of the trigger; negative when it never came.
-    double worst_organisation{0}; ///< Least whole over fair share.
+    double important_goodput{0};   ///< Important requests whole, of what the bottleneck can carry of them.
+    double goodput{0};             ///< All requests whole, of the same.
+    double recovery_seconds{0};    ///< From the end of the trigger; negative when it never came.
+    double worst_organisation{0};  ///< Least whole over fair share.
     double refused_inside_rate{0}; ///< Of the requests of organisations that kept to their rate.
     std::size_t offered{0};
     std::size_t unanswered{0};
--- a/tests/lab/main.cpp
+++ b/tests/lab/main.cpp
@@ -18,16 +18,16 @@
 using namespace caraway::lab;
 
 void print_row(std::string const& mode, measures const& found) {
-    std::cout << std::fixed << std::setprecision(1) << "| " << mode << " | " << found.important_goodput * 100 << " % | "
-              << found.goodput * 100 << " % | ";
+    std::cout << std::fixed << std::setprecision(1) << "| " << mode << " | " << found.important_goodput * 100
+              << " % | " << found.goodput * 100 << " % | ";
     if (found.recovery_seconds < 0) {
         std::cout << "not seen";
     } else {
         std::cout << found.recovery_seconds << " s";
     }
     std::cout << " | " << found.worst_organisation * 100 << " % | " << std::setprecision(3)
-              << found.refused_inside_rate * 100 << " % | " << found.unanswered << " of " << found.offered << " |"
-              << std::endl;
+              << found.refused_inside_rate * 100 << " % | " << found.unanswered << " of " << found.offered
+              << " |" << std::endl;
 }
 
 } // namespace
@@ -39,14 +39,16 @@
     std::vector<std::string> modes;
     std::vector<std::string> files;
     try {
-        TCLAP::CmdLine line("Runs overload scenarios on real processes and prints the four measures.", ' ', "0.1.0");
-        TCLAP::ValueArg<std::uint64_t> seed_value("s", "seed", "Seed of the arrivals.", false, 20261204, "N", line);
-        TCLAP::ValueArg<std::string> plot_folder("p", "plots", "Where to write an SVG for each scenario.", false, "",
-                                                 "FOLDER", line);
-        TCLAP::MultiArg<std::string> mode_values("m", "mode", "off, per_host or full; all three when left out.", false,
-                                                 "MODE", line);
-        TCLAP::UnlabeledMultiArg<std::string> scenario_files("scenarios", "Scenario files.", true, "SCENARIO.toml",
-                                                             line);
+        TCLAP::CmdLine line("Runs overload scenarios on real processes and prints the four measures.", ' ',
+                            "0.1.0");
+        TCLAP::ValueArg<std::uint64_t> seed_value("s", "seed", "Seed of the arrivals.", false, 20261204, "N",
+                                                  line);
+        TCLAP::ValueArg<std::string> plot_folder("p", "plots", "Where to write an SVG for each scenario.",
+                                                 false, "", "FOLDER", line);
+        TCLAP::MultiArg<std::string> mode_values(
+            "m", "mode", "off, per_host or full; all three when left out.", false, "MODE", line);
+        TCLAP::UnlabeledMultiArg<std::string> scenario_files("scenarios", "Scenario files.", true,
+                                                             "SCENARIO.toml", line);
         line.parse(argument_count, arguments);
         seed = seed_value.getValue();
         plots = plot_folder.getValue();
@@ -65,7 +67,8 @@
             [&]() -> result<int> {
                 BOOST_LEAF_AUTO(wanted, read_scenario(file));
                 std::cout << "\n### " << wanted.name << " (seed " << seed << ")\n\n"
-                          << "| Control | Important whole | All whole | Recovery | Worst organisation | Refused inside "
+                          << "| Control | Important whole | All whole | Recovery | Worst organisation | "
+                             "Refused inside "
                              "the rate | Unanswered |\n|---|---|---|---|---|---|---|\n";
                 std::vector<std::pair<std::string, measures>> rows;
                 for (auto const& mode : modes) {
--- a/tests/standins/fleet.cpp
+++ b/tests/standins/fleet.cpp
@@ -54,6 +54,16 @@
     return true;
 }
 
+fleet_host make_host(std::string name, std::string domain, std::string service, double work_ms,
+                     std::vector<nested_call> calls, int slots) {
+    fleet_host host{std::move(name), std::move(domain), {}};
+    host.target.service = std::move(service);
+    host.target.slots = slots;
+    host.target.work_ms = work_ms;
+    host.target.calls = std::move(calls);
+    return host;
+}
+
 std::string key_entry(std::string const& name, std::string const& organisation, std::string const& key) {
     return "[keys." + name + "]\norganisation = \"" + organisation + "\"\nsha256 = \"" + sha256_hex(key) +
            "\"\n";
--- a/tests/standins/fleet.hpp
+++ b/tests/standins/fleet.hpp
@@ -22,6 +22,9 @@
     target_behaviour target;
 };
 
+fleet_host make_host(std::string name, std::string domain, std::string service, double work_ms,
+                     std::vector<nested_call> calls = {}, int slots = 50);
+
 struct fleet_options {
     std::string configuration; ///< TOML of the operators' folder.
     std::vector<fleet_host> hosts;
--- a/tests/standins/load_generator.cpp
+++ b/tests/standins/load_generator.cpp
@@ -38,7 +38,8 @@
 }
 
 double load_generator::now_ms() const {
-    return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - this->started).count();
+    return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - this->started)
+        .count();
 }
 
 std::vector<load_result> load_generator::run(double span_ms) {
@@ -96,8 +97,8 @@
     --this->open;
 }
 
-asio::awaitable<int> load_generator::attempt(load_stream const& stream, load_entry const& entry, double left_ms,
-                                             bool& whole) {
+asio::awaitable<int> load_generator::attempt(load_stream const& stream, load_entry const& entry,
+                                             double left_ms, bool& whole) {
     auto& pool = this->idle[entry.address + ":" + std::to_string(entry.port)];
     std::unique_ptr<boost::beast::tcp_stream> connection;
     boost::system::error_code error;
@@ -128,7 +129,8 @@
     http::response<http::string_body> response;
     if (!error) {
         boost::beast::flat_buffer buffer;
-        co_await http::async_read(*connection, buffer, response, asio::redirect_error(asio::use_awaitable, error));
+        co_await http::async_read(*connection, buffer, response,
+                                  asio::redirect_error(asio::use_awaitable, error));
     }
     if (error) {
         co_return -1;
--- a/tests/standins/load_generator.hpp
+++ b/tests/standins/load_generator.hpp
@@ -1,4 +1,5 @@
-/// Open-loop load on loopback: requests leave on time whatever came of earlier ones. Bounded in rate and time.
+/// Open-loop load on loopback: requests leave on time whatever came of earlier ones. Bounded in rate and
+/// time.
 #pragma once
 
 #include <boost/asio.hpp>
@@ -38,9 +39,9 @@
     std::size_t stream{0};
     double begin_ms{0}; ///< Since the load began.
     double taken_ms{0};
-    bool whole{false};        ///< A good answer came in time.
-    bool answered{false};     ///< Some answer came.
-    int first_code{0};        ///< Result code of the first try.
+    bool whole{false};    ///< A good answer came in time.
+    bool answered{false}; ///< Some answer came.
+    int first_code{0};    ///< Result code of the first try.
     unsigned int attempts{0};
 };
 
--- a/tests/system/support.cpp
+++ b/tests/system/support.cpp
@@ -35,16 +35,6 @@
     return text + "[failure_domains.a]\nweight = 0.5\n[failure_domains.b]\nweight = 0.5\n";
 }
 
-fleet_host make_host(std::string name, std::string domain, std::string service, double work_ms,
-                     std::vector<nested_call> calls, int slots) {
-    fleet_host host{std::move(name), std::move(domain), {}};
-    host.target.service = std::move(service);
-    host.target.slots = slots;
-    host.target.work_ms = work_ms;
-    host.target.calls = std::move(calls);
-    return host;
-}
-
 std::vector<fleet_host> chain_hosts() {
     std::vector<fleet_host> hosts;
     for (std::string const domain : {"a", "b"}) {
--- a/tests/system/support.hpp
+++ b/tests/system/support.hpp
@@ -18,9 +18,6 @@
 /// Organisations north and south, services front, middle and back, failure domains a and b.
 std::string base_configuration(double rate = 100'000, double burst = 10'000);
 
-fleet_host make_host(std::string name, std::string domain, std::string service, double work_ms,
-                     std::vector<nested_call> calls = {}, int slots = 50);
-
 /// Two domains, with front, middle and back in each; front calls middle, middle calls back.
 std::vector<fleet_host> chain_hosts();
 
