http: Leave room for answers whose callers have gone

The ring towards a door held one answer for each connection; answers to nested calls whose target had hung up came on top and could have pushed out a live one. config: Bounds are printed without an exponent.

--- a/libraries/config/item_set.cpp
+++ b/libraries/config/item_set.cpp
@@ -4,12 +4,16 @@
 
 #include <algorithm>
 #include <fstream>
+#include <iomanip>
 #include <sstream>
 
 namespace caraway {
 
 namespace {
 
+/// Enough to write every bound without an exponent.
+constexpr int number_digits = 12;
+
 int line_of(toml::node const& node) {
     return static_cast<int>(node.source().begin.line);
 }
@@ -24,7 +28,7 @@
 
 std::string number_text(double number) {
     std::ostringstream stream;
-    stream << number;
+    stream << std::setprecision(number_digits) << number;
     return stream.str();
 }
 
--- a/libraries/http/door.cpp
+++ b/libraries/http/door.cpp
@@ -9,9 +9,16 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+namespace {
+
+/// Room for answers whose callers have gone, beside one for each open connection.
+constexpr std::size_t least_answers = 64;
+
+} // namespace
+
 door::door(door_settings wanted, door_events handlers)
     : options(std::move(wanted)), events(std::move(handlers)), context(1), acceptor(context),
-      answers(options.max_connections + 1) {
+      answers(2 * options.max_connections + least_answers) {
     this->answers.set_wake([this] { asio::post(this->context, [this] { this->deliver_answers(); }); });
 }
 
@@ -66,7 +73,7 @@
 }
 
 void door::answer(door_answer&& value) {
-    // The ring holds one answer for each connection, and a connection waits for one answer at a time.
+    // The ring holds two answers for each connection, and a connection waits for one at a time.
     [[maybe_unused]] bool const taken = this->answers.try_push(std::move(value));
 }
 
--- a/utilities/carawayctl/commands.cpp
+++ b/utilities/carawayctl/commands.cpp
@@ -19,6 +19,9 @@
 
 namespace {
 
+/// Enough to write every bound without an exponent.
+constexpr int number_digits = 12;
+
 using command_function = result<int> (*)(command_line const&);
 
 struct command_entry {
@@ -45,7 +48,7 @@
     struct visitor {
         std::string operator()(double number) const {
             std::ostringstream stream;
-            stream << number;
+            stream << std::setprecision(number_digits) << number;
             return stream.str();
         }
         std::string operator()(bool boolean) const { return boolean ? "true" : "false"; }
@@ -302,6 +305,7 @@
         std::cout << "| Name | Type | Bounds | Unit | Required | Meaning |\n|---|---|---|---|---|---|\n";
         for (auto const& entry : fields) {
             std::ostringstream bounds;
+            bounds << std::setprecision(number_digits);
             if (entry.type != value_type::boolean) {
                 bounds << entry.low << " to " << entry.high;
             }
