policy: Smooth the estimate of demand over a longer span

Cause: a small organisation sends two or three requests in a window of 0.1 s; a weight of 0.3 let that noise into its share, and the least of a noisy ratio is biased down. Ruled out: too few answers at first nodes (rare reports weigh more since the last change).

--- a/libraries/policy/admission_controller.cpp
+++ b/libraries/policy/admission_controller.cpp
@@ -14,7 +14,7 @@
 constexpr double opening_factor = 1.15;
 /// Below this part the offered demand could no longer be estimated.
 constexpr double least_part = 0.02;
-constexpr double demand_smoothing = 0.3;
+constexpr double demand_smoothing = 0.15;
 constexpr double capacity_smoothing = 0.3;
 /// The part of the observations with waiting work that makes a window saturated.
 constexpr double saturated_part = 0.3;
