membership: Make the digest of the counted set only for a round that asks

Cause: every tick, a hundred a second, hashed all members for a message that leaves every 0.4 s. Found by reading the change again. Also: a count of refused peers that nothing read is gone; the metric stays.

--- a/libraries/membership/rate_authority.cpp
+++ b/libraries/membership/rate_authority.cpp
@@ -305,8 +305,10 @@
 }
 
 void rate_authority::tick(time_point now, std::unordered_map<std::string, std::size_t> const& waiting) {
-    auto const digest = this->membership.digest();
-    for (auto const& request : this->membership.due_requests(now)) {
+    auto const requests = this->membership.due_requests(now);
+    // The digest costs a hash of every member, so it is only made for a round that asks.
+    auto const digest = requests.empty() ? 0 : this->membership.digest();
+    for (auto const& request : requests) {
         this->send(request.host,
                    count_me_message{.sequence = request.sequence,
                                     .incarnation = this->incarnation,
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -90,7 +90,6 @@
         this->context.peers.on_closed(event.connection);
         return this->origin.on_connection_lost(event.connection, now);
     case link_event_kind::refused:
-        ++this->refused_peers;
         this->context.numbers.add("links_refused");
         this->context.out.log(
             log_level::warn, "link_refused",
--- a/libraries/node/node_core.hpp
+++ b/libraries/node/node_core.hpp
@@ -66,7 +66,6 @@
     time_point next_cleaning;
     std::size_t gossip_turn{0};
     bool tells_suspects{false};
-    std::uint64_t refused_peers{0};
 };
 
 } // namespace caraway
