--- a/libraries/base/result_code.hpp
+++ b/libraries/base/result_code.hpp
@@ -51,6 +51,9 @@
     deadline_passed = 311,
     cancelled = 312,
     answer_dropped = 313,
+    target_refused = 314,
+    target_replaced = 315,
+    answer_lost = 316,
 
     configuration_syntax = 400,
     configuration_unknown_name = 401,
--- a/libraries/config/configuration.cpp
+++ b/libraries/config/configuration.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cmath>
 #include <map>
 #include <optional>
+#include <tuple>
 
 namespace caraway {
 
@@ -84,6 +86,26 @@
     return path.size() == prefix.size() || prefix.ends_with('/') || path[prefix.size()] == '/';
 }
 
+/// Reads "SERVICE=WEIGHT,..."; gives nothing when a part is not well-formed.
+std::vector<split_part> split_from(std::string const& text) {
+    std::vector<split_part> parts;
+    std::size_t begin = 0;
+    while (begin < text.size()) {
+        auto const end = std::min(text.find(',', begin), text.size());
+        auto const equals = text.find('=', begin);
+        double weight = -1;
+        if (equals < end) {
+            std::from_chars(text.data() + equals + 1, text.data() + end, weight);
+        }
+        if (!(weight >= 0) || equals == begin) {
+            return {};
+        }
+        parts.push_back({text.substr(begin, equals - begin), weight});
+        begin = end + 1;
+    }
+    return parts;
+}
+
 } // namespace
 
 std::string_view name_of(priority_class value) {
@@ -105,8 +127,13 @@
 
 result<void> configuration::add_organisations(item_set const& items) {
     for (auto const& [name, fields] : section_of(items, "organisations")) {
+        if (fields.contains("rate") && !fields.contains("burst")) {
+            return fail_at(result_code::configuration_missing, "'organisations." + name + "' has no 'burst'.",
+                           fields, "rate");
+        }
         this->organisation_table[name] = {name, number_or(fields, "rate", 0), number_or(fields, "burst", 1),
-                                          number_or(fields, "weight", 1)};
+                                          number_or(fields, "weight", 1),
+                                          static_cast<int>(number_or(fields, "rank", 0))};
     }
     return {};
 }
@@ -138,19 +165,54 @@
 
 result<void> configuration::add_services(item_set const& items) {
     for (auto const& [name, fields] : section_of(items, "services")) {
-        this->service_table[name] = {name, static_cast<int>(number_or(fields, "slots", 1)),
+        this->service_table[name] = {name, static_cast<int>(number_or(fields, "slots", 0)),
                                      static_cast<int>(number_or(fields, "connections", 1))};
     }
     return {};
 }
 
+result<void> configuration::check_route(route const& entry, field_map const& fields) const {
+    bool const method_is_known =
+        entry.method.empty() || std::ranges::find(methods, entry.method) != methods.end();
+    if (!method_is_known || !entry.path.starts_with('/')) {
+        return fail_at(result_code::configuration_out_of_bounds,
+                       "'routes." + entry.name +
+                           "' needs an HTTP method in capitals and a path that begins with '/'.",
+                       fields, "method");
+    }
+    if (entry.service.empty()) {
+        return fail_at(result_code::configuration_missing,
+                       "'routes." + entry.name + "' has neither 'service' nor a well-formed 'split'.", fields,
+                       "path");
+    }
+    if (!this->service_table.contains(entry.service)) {
+        return fail_at(result_code::configuration_reference,
+                       "'routes." + entry.name + "' names the service '" + entry.service +
+                           "', which is not defined.",
+                       fields, "service");
+    }
+    for (auto const& part : entry.split) {
+        if (!this->service_table.contains(part.service)) {
+            return fail_at(result_code::configuration_reference,
+                           "'routes." + entry.name + "' names the service '" + part.service +
+                               "', which is not defined.",
+                           fields, "split");
+        }
+    }
+    return {};
+}
+
 result<void> configuration::add_routes(item_set const& items) {
-    std::map<std::pair<std::string, std::string>, std::string> seen;
+    std::map<std::tuple<std::string, std::string, std::string>, std::string> seen;
     for (auto const& [name, fields] : section_of(items, "routes")) {
         route entry{.name = name,
                     .method = text_or(fields, "method", ""),
+                    .authority = text_or(fields, "authority", ""),
                     .path = text_or(fields, "path", ""),
                     .service = text_or(fields, "service", ""),
+                    .split = split_from(text_or(fields, "split", "")),
+                    .tickets = boolean_or(fields, "tickets", true),
+                    .latency_objective_ms = number_or(fields, "latency_objective_ms", 0),
                     .idempotent = boolean_or(fields, "idempotent", true),
                     .open = boolean_or(fields, "open", false),
                     .retry_allowance = static_cast<int>(number_or(fields, "retry_allowance", 2)),
@@ -162,19 +224,12 @@
                            "class");
         }
         entry.priority = *priority;
-        if (std::ranges::find(methods, entry.method) == methods.end() || !entry.path.starts_with('/')) {
-            return fail_at(result_code::configuration_out_of_bounds,
-                           "'routes." + name +
-                               "' needs an HTTP method in capitals and a path that begins with '/'.",
-                           fields, "method");
+        if (!entry.split.empty()) {
+            entry.service = entry.split.front().service;
         }
-        if (!this->service_table.contains(entry.service)) {
-            return fail_at(result_code::configuration_reference,
-                           "'routes." + name + "' names the service '" + entry.service +
-                               "', which is not defined.",
-                           fields, "service");
-        }
-        auto const [other, inserted] = seen.emplace(std::pair{entry.method, entry.path}, name);
+        BOOST_LEAF_CHECK(this->check_route(entry, fields));
+        auto const [other, inserted] =
+            seen.emplace(std::tuple{entry.authority, entry.method, entry.path}, name);
         if (!inserted) {
             return fail_duplicate("routes", section_of(items, "routes"), name, other->second,
                                   "method and path", "path");
@@ -183,9 +238,16 @@
     }
     std::ranges::stable_sort(this->route_list, std::greater{},
                              [](route const& entry) { return entry.path.size(); });
+    this->index_routes();
     return {};
 }
 
+void configuration::index_routes() {
+    for (std::size_t index = 0; index < this->route_list.size(); ++index) {
+        this->routes_by_authority[this->route_list[index].authority].push_back(index);
+    }
+}
+
 result<void> configuration::add_domains(item_set const& items) {
     double total = 0;
     double previous_total = 0;
@@ -196,6 +258,10 @@
         total += weight;
         previous_total += previous;
     }
+    if (this->domain_table.empty()) {
+        // The host list decides: each domain gets the part of its listed hosts.
+        return {};
+    }
     if (std::abs(total - 1) > weight_tolerance || previous_total > 1 + weight_tolerance) {
         auto const& domains = section_of(items, "failure_domains");
         return fail_at(
@@ -222,12 +288,28 @@
     return found == this->service_table.end() ? nullptr : &found->second;
 }
 
-route const* configuration::find_route(std::string_view method, std::string_view target) const {
+route const* configuration::find_route(std::string_view method, std::string_view authority,
+                                       std::string_view target) const {
     auto const path = target.substr(0, target.find('?'));
-    auto const found = std::ranges::find_if(this->route_list, [&](route const& entry) {
-        return entry.method == method && path_matches(entry.path, path);
-    });
-    return found == this->route_list.end() ? nullptr : &*found;
+    route const* longest = nullptr;
+    for (auto const name : {authority.substr(0, authority.find(':')), std::string_view{}}) {
+        auto const positions = this->routes_by_authority.find(std::string(name));
+        if (positions == this->routes_by_authority.end()) {
+            continue;
+        }
+        for (auto const position : positions->second) {
+            auto const& entry = this->route_list[position];
+            bool const fits =
+                (entry.method.empty() || entry.method == method) && path_matches(entry.path, path);
+            if (fits && (longest == nullptr || entry.path.size() > longest->path.size())) {
+                longest = &entry;
+            }
+            if (fits) {
+                break;
+            }
+        }
+    }
+    return longest;
 }
 
 route const* configuration::find_route_by_name(std::string_view name) const {
--- a/libraries/config/configuration.hpp
+++ b/libraries/config/configuration.hpp
@@ -20,22 +20,35 @@
 
 struct organisation {
     std::string name;
-    double rate{0};  ///< Requests per second over the whole fleet.
+    double rate{0};  ///< Requests per second over the whole fleet; 0 when unlimited.
     double burst{0}; ///< Requests.
     double weight{1};
+    int rank{0}; ///< The requests of greater ranks are shed first.
+
+    bool is_limited() const { return this->rate > 0; }
 };
 
 struct service {
     std::string name;
-    int slots{1};
+    int slots{0}; ///< 0 when only the host list says it.
     int connections{1};
 };
 
+/// One service of a split route.
+struct split_part {
+    std::string service;
+    double weight{0}; ///< Against the sum of all parts.
+};
+
 struct route {
     std::string name;
-    std::string method;
-    std::string path; ///< Prefix in whole segments.
-    std::string service;
+    std::string method;             ///< Empty: all methods.
+    std::string authority;          ///< Host name that callers ask for; empty: any.
+    std::string path;               ///< Prefix in whole segments.
+    std::string service;            ///< Of a split route the first part's.
+    std::vector<split_part> split;  ///< Empty when one service runs all.
+    bool tickets{true};             ///< Whether a non-idempotent request needs a ticket.
+    double latency_objective_ms{0}; ///< 0 when none is set.
     bool idempotent{true};
     bool open{false};
     priority_class priority{priority_class::normal};
@@ -62,6 +75,7 @@
     }
     std::unordered_map<std::string, service> const& services() const { return this->service_table; }
     std::vector<route> const& routes() const { return this->route_list; }
+    /// Empty when the folder leaves the weights to the host list.
     std::unordered_map<std::string, failure_domain> const& failure_domains() const {
         return this->domain_table;
     }
@@ -72,8 +86,10 @@
     organisation const* find_organisation(std::string const& name) const;
     service const* find_service(std::string const& name) const;
 
-    /// The route with the longest matching path; null when there is none. `target` may carry a query.
-    route const* find_route(std::string_view method, std::string_view target) const;
+    /// The route with the longest matching path; null when there is none. `authority` is the host name asked
+    /// for, which may carry a port; `target` may carry a query.
+    route const* find_route(std::string_view method, std::string_view authority,
+                            std::string_view target) const;
     route const* find_route_by_name(std::string_view name) const;
 
 private:
@@ -81,6 +97,8 @@
     result<void> add_keys(item_set const& items);
     result<void> add_services(item_set const& items);
     result<void> add_routes(item_set const& items);
+    result<void> check_route(route const& entry, field_map const& fields) const;
+    void index_routes();
     result<void> add_domains(item_set const& items);
 
     std::uint64_t revision_number{0};
@@ -89,6 +107,8 @@
     std::unordered_map<std::string, std::string> key_table; ///< Hash to organisation name.
     std::unordered_map<std::string, failure_domain> domain_table;
     std::vector<route> route_list;
+    /// Positions in `route_list`, by authority, longest path first.
+    std::unordered_map<std::string, std::vector<std::size_t>> routes_by_authority;
 };
 
 using configuration_pointer = std::shared_ptr<configuration const>;
--- a/libraries/config/settings.cpp
+++ b/libraries/config/settings.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::array<std::string_view, 3> mode_names{"full", "per_host", "off"};
+constexpr std::array<std::string_view, 2> call_context_names{"token", "deadline"};
 constexpr std::array<std::string_view, 5> log_levels{"trace", "debug", "info", "warn", "error"};
 constexpr std::size_t seed_parts = 4;
 
@@ -42,6 +43,14 @@
             });
     }
 
+    result<std::optional<endpoint>> optional_address(std::string const& name) const {
+        if (this->find("addresses", name) == nullptr) {
+            return std::nullopt;
+        }
+        BOOST_LEAF_AUTO(found, this->address(name));
+        return std::optional(found);
+    }
+
 private:
     item_set const& items;
 };
@@ -88,6 +97,10 @@
     return mode_names.at(static_cast<std::size_t>(value));
 }
 
+std::string_view name_of(call_context value) {
+    return call_context_names.at(static_cast<std::size_t>(value));
+}
+
 result<endpoint> parse_endpoint(std::string const& text) {
     auto const colon = text.rfind(':');
     unsigned int port = 0;
@@ -116,10 +129,12 @@
     read.failure_domain = reader.get_or<std::string>("node", "failure_domain", "");
     read.service = reader.get_or<std::string>("node", "service", "");
     BOOST_LEAF_ASSIGN(read.callers, reader.address("callers"));
-    BOOST_LEAF_ASSIGN(read.egress, reader.address("egress"));
+    BOOST_LEAF_ASSIGN(read.egress, reader.optional_address("egress"));
+    BOOST_LEAF_ASSIGN(read.readiness, reader.optional_address("readiness"));
     BOOST_LEAF_ASSIGN(read.link, reader.address("link"));
     BOOST_LEAF_ASSIGN(read.operators, reader.address("operators"));
     BOOST_LEAF_ASSIGN(read.target, reader.address("target"));
+    read.platform_interface = reader.get_or<std::string>("platform", "interface", read.platform_interface);
     read.platform_url = reader.get_or<std::string>("platform", "url", "");
     read.fleet_secret = reader.get_or<std::string>("link", "fleet_secret", "");
     if (auto const* seeds = reader.find("link", "peers")) {
@@ -136,6 +151,12 @@
     read.max_connections = bound("max_connections", read.max_connections);
     read.max_requests = bound("max_requests", read.max_requests);
     read.idle_timeout_ms = reader.get_or<double>("limits", "idle_timeout_ms", read.idle_timeout_ms);
+    read.max_pipeline = bound("max_pipeline", read.max_pipeline);
+    read.drain_ms = reader.get_or<double>("limits", "drain_ms", read.drain_ms);
+    BOOST_LEAF_AUTO(calls,
+                    choose(call_context_names, reader.get_or<std::string>("control", "call_context", "token"),
+                           "control.call_context"));
+    read.calls = static_cast<call_context>(calls);
     BOOST_LEAF_AUTO(
         mode, choose(mode_names, reader.get_or<std::string>("control", "mode", "full"), "control.mode"));
     read.mode = static_cast<control_mode>(mode);
--- a/libraries/config/settings.hpp
+++ b/libraries/config/settings.hpp
@@ -3,6 +3,7 @@
 
 #include "config/item_set.hpp"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,15 +33,25 @@
     std::string link; ///< IP:PORT.
 };
 
+/// How a call of the own target is matched with the request it is made for.
+enum class call_context : std::uint8_t {
+    token,    ///< The target shows the token it was given.
+    deadline, ///< No token comes: a call ends when the request it is made for ends, which hints at that one.
+};
+
+std::string_view name_of(call_context value);
+
 struct settings {
     std::string host;
     std::string failure_domain;
     std::string service;
     endpoint callers;
-    endpoint egress;
+    std::optional<endpoint> egress; ///< Without one the own target calls through the callers' address.
     endpoint link;
     endpoint operators;
     endpoint target;
+    std::optional<endpoint> readiness; ///< Answers only whether the node takes new work; empty: not opened.
+    std::string platform_interface{"documents"};
     std::string platform_url;
     std::string fleet_secret;
     std::vector<seed_peer> peers;
@@ -49,6 +60,9 @@
     std::size_t max_connections{4096};
     std::size_t max_requests{8192};
     double idle_timeout_ms{30'000};
+    std::size_t max_pipeline{1};
+    double drain_ms{60'000}; ///< The longest time from the order to leave until the process ends.
+    call_context calls{call_context::token};
     control_mode mode{control_mode::full};
     std::string log_level{"info"};
     int span_file_descriptor{-1}; ///< -1 when spans are not written.
--- a/libraries/http/door.cpp
+++ b/libraries/http/door.cpp
@@ -4,6 +4,10 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
 namespace caraway {
 
 namespace asio = boost::asio;
@@ -13,12 +17,15 @@
 
 /// Room for answers whose callers have gone, beside one for each open connection.
 constexpr std::size_t least_answers = 64;
+/// Idle and stuck connections are looked for this often, as a part of the time they are allowed.
+constexpr double sweep_part = 0.125;
+constexpr double longest_sweep_ms = 1000;
 
 } // namespace
 
 door::door(door_settings wanted, door_events handlers)
     : options(std::move(wanted)), events(std::move(handlers)), context(1), acceptor(context),
-      answers(2 * options.max_connections + least_answers) {
+      sweep_timer(context), answers(2 * options.max_connections + least_answers) {
     this->answers.set_wake([this] { asio::post(this->context, [this] { this->deliver_answers(); }); });
 }
 
@@ -46,6 +53,7 @@
                                                  " can't be opened: " + error.message() + "."});
     }
     this->accept();
+    this->schedule_sweep();
     this->worker = std::thread([this] { this->context.run(); });
     return {};
 }
@@ -60,20 +68,35 @@
             this->sessions.push_back(session);
             session->read();
         }
-        this->forget_ended_sessions();
         this->accept();
     });
 }
 
-void door::forget_ended_sessions() {
-    if (this->sessions.size() < 2 * this->open_connections + 64) {
-        return;
+void door::schedule_sweep() {
+    auto const pause = std::min(longest_sweep_ms, this->options.idle_timeout_ms * sweep_part);
+    this->sweep_timer.expires_after(
+        std::chrono::milliseconds(std::max<std::int64_t>(1, std::llround(pause))));
+    this->sweep_timer.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            this->sweep();
+            this->schedule_sweep();
+        }
+    });
+}
+
+void door::sweep() {
+    auto const now = monotonic_clock::now();
+    for (auto const& entry : this->sessions) {
+        if (auto const session = entry.lock()) {
+            session->close_if_stuck(now);
+        }
     }
     std::erase_if(this->sessions, [](auto const& session) { return session.expired(); });
 }
 
 void door::answer(door_answer&& value) {
-    // The ring holds two answers for each connection, and a connection waits for one at a time.
+    // The ring holds two answers for each connection; one that overflows it is lost, and its caller's time
+    // limit ends the wait.
     [[maybe_unused]] bool const taken = this->answers.try_push(std::move(value));
 }
 
@@ -85,20 +108,18 @@
         }
         auto const session = std::move(found->second);
         this->waiting.erase(found);
-        session->write(std::move(value));
+        session->take_answer(std::move(value));
     });
 }
 
 void door::drain() {
-    asio::post(this->context, [this] {
-        this->draining = true;
-        boost::system::error_code ignored;
-        this->acceptor.close(ignored);
-    });
+    asio::post(this->context, [this] { this->draining = true; });
 }
 
 void door::close_idle() {
     asio::post(this->context, [this] {
+        boost::system::error_code ignored;
+        this->acceptor.close(ignored);
         for (auto const& entry : this->sessions) {
             if (auto const session = entry.lock()) {
                 session->close_if_idle();
--- a/libraries/http/door.hpp
+++ b/libraries/http/door.hpp
@@ -1,19 +1,24 @@
 /// The HTTP/1.1 server that callers, and the own target for its calls, connect to. By Boost.Beast.
 ///
-/// It runs on a thread of its own. One request of a connection is worked on at a time, so pipelined requests
-/// are answered in order. A caller's key leaves this class only as its hash.
+/// It runs on a thread of its own. Pipelined requests of a connection, up to a bound, are worked on together
+/// and answered in order. A caller's key leaves this class only as its hash.
 #pragma once
 
 #include "base/bounded_ring.hpp"
+#include "base/clock.hpp"
 #include "base/header_field.hpp"
 #include "base/problem.hpp"
+#include "base/result_code.hpp"
+#include "http/http_dialect.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <unordered_map>
@@ -29,7 +34,8 @@
     std::uint64_t id{0}; ///< Names the request towards `answer`.
     door_side side{door_side::callers};
     std::string method;
-    std::string path; ///< With its query.
+    std::string authority; ///< Host name that was asked for.
+    std::string path;      ///< With its query.
     header_list headers;
     std::string body;
     std::string key_sha256;      ///< Empty when no key came.
@@ -40,11 +46,21 @@
     double timeout_ms{0}; ///< What the caller allows; 0 when it says nothing.
 };
 
+/// What the system itself says with an answer.
+struct answer_note {
+    outcome result{outcome::unknown};
+    result_code code{result_code::ok};
+    std::string request_id;
+    std::string ticket;       ///< For the next try; empty when there is none.
+    double retry_after_ms{0}; ///< 0 when nothing is said.
+};
+
 struct door_answer {
     std::uint64_t id{0};
     std::uint16_t status{500};
     header_list headers;
     std::string body;
+    std::optional<answer_note> note;
 };
 
 struct door_settings {
@@ -55,6 +71,9 @@
     std::size_t max_header{16'384};
     std::size_t max_connections{4096};
     double idle_timeout_ms{30'000};
+    /// Requests of one connection that are worked on together; more stay unread.
+    std::size_t max_pipeline{1};
+    http_dialect dialect;
 };
 
 /// What the door reports; called on the door's thread and must not block.
@@ -79,9 +98,9 @@
     /// Thread-safe; an answer to a request whose caller has gone is dropped.
     void answer(door_answer&& value);
 
-    /// Takes no new connection from now on, and closes each open one after its next answer.
+    /// Each open connection ends with the answer to what was read on it; new ones are still served.
     void drain();
-    /// Closes the connections that wait for no answer; the last step after `drain`.
+    /// Takes no new connection, and closes those that wait for no answer; the last step after `drain`.
     void close_idle();
 
     std::size_t connection_count() const { return this->open_connections; }
@@ -92,12 +111,14 @@
 
     void accept();
     void deliver_answers();
-    void forget_ended_sessions();
+    void sweep();
+    void schedule_sweep();
 
     door_settings options;
     door_events events;
     boost::asio::io_context context;
     boost::asio::ip::tcp::acceptor acceptor;
+    boost::asio::steady_timer sweep_timer;
     bounded_ring<door_answer> answers;
     std::unordered_map<std::uint64_t, std::shared_ptr<door_session>> waiting; ///< By request.
     std::vector<std::weak_ptr<door_session>> sessions;
--- a/libraries/http/door_session.cpp
+++ b/libraries/http/door_session.cpp
@@ -3,11 +3,11 @@
 #include "base/digest.hpp"
 #include "http/header_rules.hpp"
 
-#include <boost/asio/post.hpp>
-
+#include <algorithm>
+#include <array>
 #include <charconv>
-#include <chrono>
 #include <cmath>
+#include <cstdio>
 
 namespace caraway {
 
@@ -15,22 +15,26 @@
 
 namespace {
 
-constexpr std::string_view bearer_prefix = "Bearer ";
-constexpr std::size_t max_request_id = 64;
+constexpr std::size_t max_request_id = 512;
 constexpr std::size_t max_small_header = 512;
+constexpr std::size_t linger_chunk = 16'384;
+/// What is read away after the last answer at most; more than callers commonly have under way.
+constexpr std::size_t linger_bytes = 2'097'152;
+/// How long the other end may take to close after the last answer.
+constexpr duration linger_limit{2000};
 
 std::string text_of(http::request<http::string_body> const& request, std::string_view name) {
     auto const value = request[boost::beast::string_view(name.data(), name.size())];
     return {value.data(), std::min(value.size(), max_small_header)};
 }
 
-std::string key_hash(http::request<http::string_body> const& request) {
-    auto const value = request[http::field::authorization];
+std::string key_hash(http::request<http::string_body> const& request, http_dialect const& dialect) {
+    auto const value = request[dialect.key];
     std::string_view const text(value.data(), value.size());
-    if (!text.starts_with(bearer_prefix) || text.size() == bearer_prefix.size()) {
+    if (!text.starts_with(dialect.key_prefix) || text.size() == dialect.key_prefix.size()) {
         return {};
     }
-    return sha256_hex(text.substr(bearer_prefix.size()));
+    return sha256_hex(text.substr(dialect.key_prefix.size()));
 }
 
 double number_or_zero(std::string const& text) {
@@ -39,19 +43,22 @@
     return parsed.ec == std::errc{} && std::isfinite(number) && number > 0 ? number : 0;
 }
 
-door_request convert(http::request<http::string_body>&& request) {
+door_request convert(http::request<http::string_body>&& request, http_dialect const& dialect) {
     door_request converted;
     converted.method = std::string(request.method_string());
+    converted.authority = text_of(request, "Host");
     converted.path = std::string(request.target());
-    converted.key_sha256 = key_hash(request);
-    converted.context_token = text_of(request, header::context);
-    converted.idempotency_key = text_of(request, header::idempotency_key);
-    converted.request_id = text_of(request, header::request_id).substr(0, max_request_id);
-    converted.traceparent = text_of(request, header::traceparent);
-    converted.timeout_ms = number_or_zero(text_of(request, header::timeout));
+    converted.key_sha256 = key_hash(request, dialect);
+    converted.request_id = text_of(request, dialect.request_id).substr(0, max_request_id);
+    converted.timeout_ms = number_or_zero(text_of(request, dialect.timeout));
+    if (dialect.has_own_fields) {
+        converted.context_token = text_of(request, header::context);
+        converted.idempotency_key = text_of(request, header::idempotency_key);
+        converted.traceparent = text_of(request, header::traceparent);
+    }
     for (auto const& field : request) {
         std::string_view const name(field.name_string().data(), field.name_string().size());
-        if (!header::is_private(name)) {
+        if (!dialect.is_private(name)) {
             converted.headers.push_back({std::string(name), std::string(field.value())});
         }
     }
@@ -59,14 +66,31 @@
     return converted;
 }
 
-std::chrono::milliseconds rounded(double milliseconds) {
-    return std::chrono::milliseconds(static_cast<std::int64_t>(milliseconds));
+std::string retry_after_text(double milliseconds, http_dialect const& dialect) {
+    if (!dialect.retry_after_has_fractions) {
+        return std::to_string(std::max<long long>(1, std::llround(std::ceil(milliseconds / 1000))));
+    }
+    std::array<char, 32> text{};
+    auto const written = std::snprintf(text.data(), text.size(), "%.2f", std::max(10.0, milliseconds) / 1000);
+    return {text.data(), static_cast<std::size_t>(written)};
+}
+
+/// The status that says no more than the outcome allows.
+std::uint16_t honest_status(door_answer const& answer, http_dialect const& dialect) {
+    if (!answer.note || answer.note->code == result_code::ok) {
+        return answer.status;
+    }
+    bool const has_not_run = answer.note->result == outcome::not_run;
+    if (dialect.statuses_promise && has_not_run && answer.status >= 500) {
+        return 503;
+    }
+    return !has_not_run && dialect.is_promise(answer.status) ? 502 : answer.status;
 }
 
 } // namespace
 
 door_session::door_session(door& owner, boost::asio::ip::tcp::socket socket)
-    : server(owner), stream(std::move(socket)) {
+    : server(owner), stream(std::move(socket)), active(monotonic_clock::now()) {
     ++this->server.open_connections;
     boost::system::error_code ignored;
     this->stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
@@ -80,7 +104,7 @@
     this->parser.emplace();
     this->parser->header_limit(static_cast<std::uint32_t>(this->server.options.max_header));
     this->parser->body_limit(this->server.options.max_body);
-    this->stream.expires_after(rounded(this->server.options.idle_timeout_ms));
+    this->reading = true;
     http::async_read(this->stream, this->buffer, *this->parser,
                      [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
                          self->on_read(error);
@@ -88,38 +112,48 @@
 }
 
 void door_session::on_read(boost::system::error_code error) {
+    this->reading = false;
+    if (this->lingering) {
+        return error ? this->stream.close() : this->linger();
+    }
+    this->active = monotonic_clock::now();
     if (error) {
         return this->refuse(error);
     }
-    this->stream.expires_never();
+    auto const& dialect = this->server.options.dialect;
     auto request = this->parser->release();
-    this->keep_alive = request.keep_alive();
-    this->head = request.method() == http::verb::head;
+    bool const keeps = request.keep_alive();
+    bool const is_head = request.method() == http::verb::head;
     // Two lengths, or a length beside chunks, let two readers see two different requests.
     bool const ambiguous = request.count(http::field::content_length) > 1 ||
                            (request.count(http::field::content_length) > 0 && request.chunked());
-    if (ambiguous || request.count(http::field::authorization) > 1) {
-        return this->send_problem(result_code::request_malformed, false);
+    if (ambiguous || request.count(dialect.key) > 1) {
+        return this->answer_problem(result_code::request_malformed, false, is_head);
     }
-    auto converted = convert(std::move(request));
-    converted.id = this->server.next_id++;
+    auto converted = convert(std::move(request), dialect);
+    auto const id = this->server.next_id++;
+    converted.id = id;
     converted.side = this->server.options.side;
-    this->current = converted.id;
-    this->server.waiting[this->current] = this->shared_from_this();
+    this->server.waiting[id] = this->shared_from_this();
     if (!this->server.events.request(std::move(converted))) {
-        this->server.waiting.erase(this->current);
-        return this->send_problem(result_code::node_busy, this->keep_alive);
+        this->server.waiting.erase(id);
+        return this->answer_problem(result_code::node_busy, keeps, is_head);
+    }
+    this->pending.push_back({.id = id, .keep_alive = keeps, .is_head = is_head});
+    this->ending = this->ending || !keeps;
+    if (this->ending || this->server.draining || this->pending.size() >= this->server.options.max_pipeline) {
+        return this->watch_for_hang_up();
     }
-    this->watch_for_hang_up();
+    this->read();
 }
 
 void door_session::refuse(boost::system::error_code error) {
-    bool const silent =
-        error == http::error::end_of_stream || error == boost::asio::error::operation_aborted ||
-        error == boost::beast::error::timeout || error.category() == boost::system::system_category();
-    if (silent) {
-        // The answer to this would have no reader, or the request never began.
-        return;
+    bool const gone = error == http::error::end_of_stream || error == boost::asio::error::operation_aborted ||
+                      error == boost::beast::error::timeout ||
+                      error.category() == boost::system::system_category();
+    if (gone) {
+        // An answer would have no reader, or the request never began.
+        return this->hang_up();
     }
     auto code = result_code::request_malformed;
     if (error == http::error::body_limit) {
@@ -128,83 +162,170 @@
         code = result_code::header_too_large;
     }
     ++this->server.refused;
-    this->send_problem(code, false);
+    this->answer_problem(code, false, false);
+}
+
+void door_session::answer_problem(result_code code, bool keep_alive, bool is_head) {
+    auto const& entry = describe(code);
+    door_answer answer{.status = entry.http_status, .body = std::string(entry.name) + "\n"};
+    answer.note = answer_note{.result = outcome::not_run, .code = code};
+    this->pending.push_back({.keep_alive = keep_alive, .is_head = is_head, .answer = std::move(answer)});
+    this->ending = this->ending || !keep_alive;
+    this->write_next();
+    if (!this->ending && !this->reading && this->pending.size() < this->server.options.max_pipeline) {
+        this->read();
+    }
 }
 
 void door_session::watch_for_hang_up() {
+    if (this->watching || !this->stream.socket().is_open()) {
+        return;
+    }
+    this->watching = true;
     this->stream.socket().async_wait(boost::asio::ip::tcp::socket::wait_read,
                                      [weak = this->weak_from_this()](boost::system::error_code error) {
                                          if (auto const self = weak.lock()) {
+                                             self->watching = false;
                                              self->on_readable(error);
                                          }
                                      });
 }
 
 void door_session::on_readable(boost::system::error_code error) {
-    if (error || this->current == 0) {
+    if (error || this->reading || this->pending.empty()) {
         return;
     }
     char byte = 0;
     auto const got = ::recv(this->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     bool const gone = got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-    if (!gone) {
-        // More bytes are a pipelined request; they stay in the socket until this one is answered.
-        return;
+    if (gone) {
+        this->hang_up();
+    }
+    // More bytes are further requests; they stay in the socket until there is room for them.
+}
+
+void door_session::hang_up() {
+    auto const left = std::exchange(this->pending, {});
+    for (auto const& request : left) {
+        if (request.id != 0 && !request.answer) {
+            this->server.events.hang_up(request.id);
+            this->server.waiting.erase(request.id);
+        }
     }
-    auto const id = std::exchange(this->current, 0);
-    this->server.events.hang_up(id);
+    this->ending = true;
     this->stream.close();
-    this->server.waiting.erase(id);
 }
 
-void door_session::write(door_answer&& answer) {
-    this->current = 0;
-    this->stream.socket().cancel();
-    bool const stay = this->keep_alive && !this->server.draining;
-    this->send(answer.status, answer.headers, std::move(answer.body), stay);
+void door_session::take_answer(door_answer&& answer) {
+    auto const found = std::ranges::find(this->pending, answer.id, &pending_request::id);
+    if (found == this->pending.end()) {
+        return;
+    }
+    found->answer = std::move(answer);
+    this->write_next();
 }
 
-void door_session::send_problem(result_code code, bool stay) {
-    auto const& entry = describe(code);
-    this->current = 0;
-    header_list const headers{{std::string(header::result_outcome), std::string(name_of(outcome::not_run))},
-                              {std::string(header::result_code), std::to_string(static_cast<int>(code))}};
-    this->send(entry.http_status, headers, std::string(entry.name) + "\n", stay);
+void door_session::write_next() {
+    if (this->writing || this->pending.empty() || !this->pending.front().answer) {
+        return;
+    }
+    auto request = std::move(this->pending.front());
+    this->pending.pop_front();
+    // A request that was read after this one keeps the connection open until its own answer.
+    bool const is_last =
+        this->pending.empty() && (!request.keep_alive || this->server.draining || this->ending);
+    this->ending = this->ending || is_last;
+    this->response.emplace(this->make_response(std::move(request), !is_last));
+    this->writing = true;
+    http::async_write(
+        this->stream, *this->response,
+        [self = this->shared_from_this(), is_last](boost::system::error_code error, std::size_t) {
+            self->on_written(error, !is_last);
+        });
 }
 
-void door_session::send(std::uint16_t status, header_list const& headers, std::string body, bool stay) {
-    this->response.emplace(static_cast<http::status>(status), 11);
-    for (auto const& field : headers) {
-        this->response->insert(field.name, field.value);
+void door_session::on_written(boost::system::error_code error, bool stays) {
+    this->writing = false;
+    this->response.reset();
+    this->active = monotonic_clock::now();
+    if (error) {
+        return this->hang_up();
     }
-    this->response->body() = std::move(body);
-    this->response->keep_alive(stay);
-    this->response->prepare_payload();
-    if (this->head) {
-        this->response->body().clear();
+    if (!stays) {
+        return this->linger();
+    }
+    this->write_next();
+    bool const has_room = this->pending.size() < this->server.options.max_pipeline;
+    if (!this->ending && !this->reading && has_room && !this->server.draining) {
+        this->read();
     }
-    this->writing = true;
-    this->stream.expires_after(rounded(this->server.options.idle_timeout_ms));
-    http::async_write(this->stream, *this->response,
-                      [self = this->shared_from_this(), stay](boost::system::error_code error, std::size_t) {
-                          self->writing = false;
-                          if (error) {
-                              return;
-                          }
-                          if (!stay) {
-                              boost::system::error_code ignored;
-                              self->stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send,
-                                                             ignored);
-                              return;
-                          }
-                          self->read();
-                      });
+}
+
+door_session::response_type door_session::make_response(pending_request&& request, bool stays) const {
+    auto const& dialect = this->server.options.dialect;
+    auto& answer = *request.answer;
+    response_type made(static_cast<http::status>(honest_status(answer, dialect)), 11);
+    for (auto const& field : answer.headers) {
+        made.insert(field.name, field.value);
+    }
+    if (auto const& note = answer.note) {
+        if (dialect.has_own_fields) {
+            made.set(std::string(header::result_outcome), std::string(name_of(note->result)));
+            made.set(std::string(header::result_code), std::to_string(static_cast<int>(note->code)));
+        }
+        if (!note->request_id.empty()) {
+            made.set(dialect.request_id, note->request_id);
+        }
+        if (!note->ticket.empty() && dialect.has_own_fields) {
+            made.set(std::string(header::idempotency_key), note->ticket);
+        }
+        if (note->retry_after_ms > 0 && note->result != outcome::ran) {
+            made.set("Retry-After", retry_after_text(note->retry_after_ms, dialect));
+        }
+    }
+    made.body() = std::move(answer.body);
+    made.keep_alive(stays);
+    made.prepare_payload();
+    if (request.is_head) {
+        made.body().clear();
+    }
+    return made;
+}
+
+void door_session::linger() {
+    this->lingering = true;
+    boost::system::error_code ignored;
+    this->stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    if (this->reading) {
+        return;
+    }
+    this->buffer.clear();
+    this->reading = true;
+    this->stream.async_read_some(
+        this->buffer.prepare(linger_chunk),
+        [self = this->shared_from_this()](boost::system::error_code error, std::size_t size) {
+            self->reading = false;
+            self->lingered += size;
+            if (error || self->lingered > linger_bytes) {
+                return self->stream.close();
+            }
+            self->linger();
+        });
 }
 
 void door_session::close_if_idle() {
-    if (this->current == 0 && !this->writing) {
+    if (this->pending.empty() && !this->writing) {
         this->stream.close();
     }
 }
 
+void door_session::close_if_stuck(time_point now) {
+    auto const limit = this->lingering ? linger_limit : duration{this->server.options.idle_timeout_ms};
+    // While a request is worked on, its own time limit ends the wait.
+    bool const waits_for_node = !this->pending.empty() && !this->writing;
+    if (!waits_for_node && now - this->active >= limit) {
+        this->hang_up();
+    }
+}
+
 } // namespace caraway
--- a/libraries/http/door_session.hpp
+++ b/libraries/http/door_session.hpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <deque>
 #include <optional>
 
 namespace caraway {
@@ -19,29 +20,51 @@
     door_session& operator=(door_session const&) = delete;
 
     void read();
-    void write(door_answer&& answer);
+    void take_answer(door_answer&& answer);
     /// Closes the connection unless a request is being worked on.
     void close_if_idle();
+    /// Closes the connection when its other end has neither sent nor taken anything for the allowed time.
+    void close_if_stuck(time_point now);
 
 private:
     using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using response_type = boost::beast::http::response<boost::beast::http::string_body>;
+
+    /// A request that was read, in the order of the connection, until its answer is written.
+    struct pending_request {
+        std::uint64_t id{0}; ///< 0 when the door itself answers.
+        bool keep_alive{true};
+        bool is_head{false};
+        std::optional<door_answer> answer;
+    };
 
     void on_read(boost::system::error_code error);
+    /// Answers what could not be read as a request; the connection ends with it.
     void refuse(boost::system::error_code error);
+    void answer_problem(result_code code, bool keep_alive, bool is_head);
+    void write_next();
+    void on_written(boost::system::error_code error, bool stays);
+    response_type make_response(pending_request&& request, bool stays) const;
     void watch_for_hang_up();
     void on_readable(boost::system::error_code error);
-    void send(std::uint16_t status, header_list const& headers, std::string body, bool keep_alive);
-    void send_problem(result_code code, bool keep_alive);
+    /// The caller has gone: tells the node of every request that is not answered, and closes.
+    void hang_up();
+    /// Ends the sending half and reads away what still comes, so that the last answer is not lost to a reset.
+    void linger();
 
     door& server;
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     std::optional<parser_type> parser;
-    std::optional<boost::beast::http::response<boost::beast::http::string_body>> response;
-    std::uint64_t current{0}; ///< The request being worked on; 0 when none is.
-    bool keep_alive{true};
+    std::optional<response_type> response;
+    std::deque<pending_request> pending;
+    time_point active; ///< When the other end last sent a whole request, or took a whole answer.
+    bool reading{false};
     bool writing{false};
-    bool head{false}; ///< The request's method is HEAD.
+    bool watching{false};
+    bool ending{false}; ///< Nothing more is read as a request.
+    bool lingering{false};
+    std::size_t lingered{0}; ///< Bytes read away.
 };
 
 } // namespace caraway
--- a/libraries/http/header_rules.cpp
+++ b/libraries/http/header_rules.cpp
@@ -4,40 +4,33 @@
 
 #include <algorithm>
 #include <array>
+#include <span>
 
 namespace caraway::header {
 
 namespace {
 
-constexpr auto private_names = std::to_array<std::string_view>({"Connection",
-                                                                "Keep-Alive",
-                                                                "Transfer-Encoding",
-                                                                "TE",
-                                                                "Trailer",
-                                                                "Upgrade",
-                                                                "Proxy-Authorization",
-                                                                "Proxy-Authenticate",
-                                                                "Proxy-Connection",
-                                                                "Content-Length",
-                                                                "Host",
-                                                                "Expect",
-                                                                "Authorization",
-                                                                "Cookie",
-                                                                "X-Api-Key",
-                                                                request_id,
-                                                                timeout,
-                                                                context,
-                                                                deadline,
-                                                                result_outcome,
-                                                                result_code,
-                                                                idempotency_key,
-                                                                traceparent});
+constexpr auto connection_names = std::to_array<std::string_view>(
+    {"Connection", "Keep-Alive", "Transfer-Encoding", "TE", "Trailer", "Upgrade", "Proxy-Authorization",
+     "Proxy-Authenticate", "Proxy-Connection", "Content-Length", "Host", "Expect"});
 
-} // namespace
+constexpr auto own_names =
+    std::to_array<std::string_view>({"Authorization", "Cookie", "X-Api-Key", context, result_outcome,
+                                     result_code, idempotency_key, traceparent});
 
-bool is_private(std::string_view name) {
-    return std::ranges::any_of(private_names,
+bool is_one_of(std::span<std::string_view const> names, std::string_view name) {
+    return std::ranges::any_of(names,
                                [name](std::string_view entry) { return boost::beast::iequals(name, entry); });
 }
 
+} // namespace
+
+bool is_of_connection(std::string_view name) {
+    return is_one_of(connection_names, name);
+}
+
+bool is_own(std::string_view name) {
+    return is_one_of(own_names, name);
+}
+
 } // namespace caraway::header
--- a/libraries/http/header_rules.hpp
+++ b/libraries/http/header_rules.hpp
@@ -1,4 +1,4 @@
-/// Which header fields cross the system, and the names of its own.
+/// Which header fields never cross the system, and the names of its own that no dialect changes.
 #pragma once
 
 #include "base/header_field.hpp"
@@ -7,16 +7,16 @@
 
 namespace caraway::header {
 
-inline constexpr std::string_view request_id = "X-Request-Id";
-inline constexpr std::string_view timeout = "X-Request-Timeout-Ms";
 inline constexpr std::string_view context = "X-Caraway-Context";
-inline constexpr std::string_view deadline = "X-Caraway-Deadline-Ms";
 inline constexpr std::string_view result_outcome = "X-Caraway-Outcome";
 inline constexpr std::string_view result_code = "X-Caraway-Code";
 inline constexpr std::string_view idempotency_key = "Idempotency-Key";
 inline constexpr std::string_view traceparent = "traceparent";
 
-/// Whether a field stays between one hop's two ends, carries a credential, or is the system's own.
-bool is_private(std::string_view name);
+/// Whether a field concerns one connection only.
+bool is_of_connection(std::string_view name);
+
+/// Whether a field carries a credential, or is the system's own.
+bool is_own(std::string_view name);
 
 } // namespace caraway::header
--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -8,7 +8,10 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+#include <charconv>
 #include <chrono>
+#include <cmath>
 #include <optional>
 
 namespace caraway {
@@ -19,7 +22,15 @@
 namespace {
 
 /// Shorter than what targets commonly allow, so that the target seldom closes a connection just being reused.
-constexpr duration max_idle{2000};
+constexpr duration default_idle{2000};
+/// The part of the time a target says it keeps an idle connection, after which it is not used again: for what
+/// may be sent again, and for what may not.
+constexpr double reuse_part = 0.8;
+constexpr double careful_reuse_part = 0.5;
+/// The target is on this host; an accept that takes longer means that it takes none.
+constexpr double connect_limit_ms = 1000;
+/// Answers to earlier requests that are read past before the connection is given up.
+constexpr int max_stray_answers = 4;
 constexpr std::size_t max_idle_connections = 4096;
 
 } // namespace
@@ -38,6 +49,7 @@
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     time_point idle_since;
+    duration idle_limit{default_idle};
 };
 
 /// One request on its way to the target and back.
@@ -46,17 +58,15 @@
     target_call(target_client& owner, target_request&& wanted) : client(owner), request(std::move(wanted)) {}
 
     void start() {
-        this->connection = this->client.take_idle();
+        this->connection = this->client.take_idle(this->request.idempotent);
         if (this->connection != nullptr) {
-            this->arm();
+            this->arm(this->request.timeout_ms);
             return this->write();
         }
         this->connection = std::make_unique<target_connection>(this->client.context);
-        this->arm();
-        asio::ip::tcp::endpoint const place(asio::ip::make_address(this->client.options.address),
-                                            this->client.options.port);
+        this->arm(std::min(this->request.timeout_ms, connect_limit_ms));
         this->connection->stream.async_connect(
-            place, [self = this->shared_from_this()](boost::system::error_code error) {
+            this->client.place(), [self = this->shared_from_this()](boost::system::error_code error) {
                 if (error) {
                     auto const code =
                         self->was_cancelled ? result_code::cancelled : result_code::target_unreachable;
@@ -64,6 +74,7 @@
                 }
                 boost::system::error_code ignored;
                 self->connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+                self->arm(self->request.timeout_ms);
                 self->write();
             });
     }
@@ -76,22 +87,46 @@
     }
 
 private:
-    void arm() {
-        auto const limit =
-            std::chrono::microseconds(static_cast<std::int64_t>(this->request.timeout_ms * 1000));
+    void arm(double limit_ms) {
+        auto const limit = std::chrono::microseconds(static_cast<std::int64_t>(limit_ms * 1000));
         this->connection->stream.expires_after(limit);
     }
 
+    void set_own_fields(http::request<http::string_body>& message) const {
+        auto const& dialect = this->client.options.dialect;
+        auto const set = [&message](std::string const& name, std::string const& value) {
+            if (!name.empty() && !value.empty()) {
+                message.set(name, value);
+            }
+        };
+        set(dialect.request_id, this->request.request_id);
+        if (this->request.deadline_ms > 0) {
+            set(dialect.deadline,
+                std::to_string(std::max<long long>(1, std::llround(std::floor(this->request.deadline_ms)))));
+        }
+        set(dialect.organisation, this->request.organisation);
+        set(dialect.calling_service, this->request.calling_service);
+        set(dialect.instance, this->request.instance);
+        if (dialect.has_own_fields) {
+            set(std::string(header::context), this->request.context_token);
+            set(std::string(header::traceparent), this->request.traceparent);
+            set(std::string(header::idempotency_key), this->request.idempotency_key);
+        }
+    }
+
     void write() {
         http::request<http::string_body> message;
         message.version(11);
         message.method_string(this->request.method);
         message.target(this->request.path);
+        bool const keeps = this->client.options.dialect.keeps_authority && !this->request.authority.empty();
         message.set(http::field::host,
-                    this->client.options.address + ":" + std::to_string(this->client.options.port));
+                    keeps ? this->request.authority
+                          : this->client.options.address + ":" + std::to_string(this->client.options.port));
         for (auto const& field : this->request.headers) {
             message.insert(field.name, field.value);
         }
+        this->set_own_fields(message);
         message.body() = std::move(this->request.body);
         message.prepare_payload();
         this->outgoing = std::move(message);
@@ -136,29 +171,100 @@
         }
         bool const cut = error == http::error::end_of_stream || error == http::error::partial_message ||
                          error.category() == boost::system::system_category() || error == asio::error::eof;
-        return this->finish(outcome::unknown,
-                            cut ? result_code::target_crashed : result_code::target_malformed);
+        if (!cut) {
+            return this->finish(outcome::unknown, result_code::target_malformed);
+        }
+        this->find_whether_target_lives();
+    }
+
+    /// A target that has just lost an answer is dead if nothing listens at its address; the connection that
+    /// shows that it lives is kept for the next request.
+    void find_whether_target_lives() {
+        this->connection = std::make_unique<target_connection>(this->client.context);
+        this->arm(connect_limit_ms);
+        this->connection->stream.async_connect(
+            this->client.place(), [self = this->shared_from_this()](boost::system::error_code error) {
+                bool const refused = error == asio::error::connection_refused;
+                if (!error) {
+                    boost::system::error_code ignored;
+                    self->connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+                    self->client.give_back(std::move(self->connection));
+                }
+                self->deliver({.id = self->request.id,
+                               .result = outcome::unknown,
+                               .code = result_code::target_crashed,
+                               .refuses_connections = refused});
+            });
     }
 
     void succeed() {
         auto response = this->parser->release();
-        target_answer answer{.id = this->request.id,
-                             .result = outcome::ran,
-                             .code = result_code::ok,
-                             .status = static_cast<std::uint16_t>(response.result_int())};
+        auto const& dialect = this->client.options.dialect;
+        if (dialect.checks_request_id && response[dialect.request_id] != this->request.request_id) {
+            return this->pass_over(response);
+        }
+        auto const status = static_cast<std::uint16_t>(response.result_int());
+        bool const states_not_run = !dialect.not_run.empty() && response.count(dialect.not_run) > 0;
+        bool const is_other_instance =
+            !dialect.instance.empty() &&
+            status == static_cast<std::uint16_t>(http::status::misdirected_request);
+        bool const lacks_integrity =
+            !dialect.integrity.empty() && response.count(dialect.integrity) == 0 && !states_not_run;
+        // A status that promises "not run" without the target saying so would be passed on as a false
+        // promise.
+        bool const is_false_promise = dialect.is_promise(status) && !states_not_run && !is_other_instance;
+        bool const is_clean = response.keep_alive() && !this->was_cancelled &&
+                              this->connection->buffer.size() == 0 && this->strays == 0;
+        if (is_clean) {
+            this->connection->idle_limit = idle_limit_of(response);
+            this->client.give_back(std::move(this->connection));
+        }
+        if (is_other_instance) {
+            return this->finish(outcome::not_run, result_code::target_replaced);
+        }
+        if (states_not_run) {
+            return this->finish(outcome::not_run, result_code::target_refused);
+        }
+        if (lacks_integrity || is_false_promise) {
+            return this->finish(outcome::unknown, result_code::target_malformed);
+        }
+        target_answer answer{
+            .id = this->request.id, .result = outcome::ran, .code = result_code::ok, .status = status};
         for (auto const& field : response) {
             std::string_view const name(field.name_string().data(), field.name_string().size());
-            if (!header::is_private(name)) {
+            if (!dialect.is_private(name)) {
                 answer.headers.push_back({std::string(name), std::string(field.value())});
             }
         }
-        answer.body = std::move(response.body());
-        if (response.keep_alive() && !this->was_cancelled) {
-            this->client.give_back(std::move(this->connection));
+        if (dialect.checks_request_id) {
+            answer.headers.push_back({dialect.request_id, this->request.request_id});
         }
+        answer.body = std::move(response.body());
         this->deliver(std::move(answer));
     }
 
+    /// The answer names another request: it came late on this connection, and the own one may still follow.
+    void pass_over(http::response<http::string_body> const& stray) {
+        bool const names_another = stray.count(this->client.options.dialect.request_id) > 0;
+        if (!names_another || !stray.keep_alive() || ++this->strays > max_stray_answers) {
+            return this->finish(outcome::unknown, result_code::target_malformed);
+        }
+        this->read();
+    }
+
+    /// What the target says of how long it keeps an idle connection.
+    static duration idle_limit_of(http::response<http::string_body> const& response) {
+        constexpr std::string_view parameter = "timeout=";
+        auto const value = response[http::field::keep_alive];
+        std::string_view const text(value.data(), value.size());
+        auto const place = text.find(parameter);
+        unsigned int seconds = 0;
+        if (place != std::string_view::npos) {
+            std::from_chars(text.data() + place + parameter.size(), text.data() + text.size(), seconds);
+        }
+        return seconds == 0 ? default_idle : duration{seconds * 1000.0};
+    }
+
     void finish(outcome result, result_code code) {
         this->deliver({.id = this->request.id, .result = result, .code = code});
     }
@@ -174,6 +280,7 @@
     http::request<http::string_body> outgoing;
     std::optional<http::response_parser<http::string_body>> parser;
     bool was_cancelled{false};
+    int strays{0}; ///< Answers to other requests that were read past.
 };
 
 target_client::target_client(target_client_settings wanted, std::function<void(target_answer&&)> answer_sink)
@@ -204,6 +311,10 @@
     [[maybe_unused]] bool const taken = this->commands.try_push(std::move(wanted));
 }
 
+asio::ip::tcp::endpoint target_client::place() const {
+    return {asio::ip::make_address(this->options.address), this->options.port};
+}
+
 void target_client::run_commands() {
     this->commands.drain([this](command&& wanted) {
         if (!wanted.cancels) {
@@ -222,12 +333,13 @@
     });
 }
 
-std::unique_ptr<target_connection> target_client::take_idle() {
+std::unique_ptr<target_connection> target_client::take_idle(bool idempotent) {
     auto const now = monotonic_clock::now();
     while (!this->idle.empty()) {
         auto connection = std::move(this->idle.back());
         this->idle.pop_back();
-        if (now - connection->idle_since < max_idle && connection->is_usable()) {
+        auto const limit = connection->idle_limit * (idempotent ? reuse_part : careful_reuse_part);
+        if (now - connection->idle_since < limit && connection->is_usable()) {
             return connection;
         }
     }
--- a/libraries/http/target_client.hpp
+++ b/libraries/http/target_client.hpp
@@ -7,6 +7,7 @@
 #include "base/bounded_ring.hpp"
 #include "base/header_field.hpp"
 #include "base/result_code.hpp"
+#include "http/http_dialect.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -25,10 +26,20 @@
 struct target_request {
     std::uint64_t id{0};
     std::string method;
+    std::string authority; ///< Host name that the caller asked for.
     std::string path;
     header_list headers;
     std::string body;
-    double timeout_ms{0}; ///< The connection is cut when no answer came by then.
+    double timeout_ms{0};  ///< The connection is cut when no answer came by then.
+    double deadline_ms{0}; ///< Time left, told to the target.
+    std::string request_id;
+    std::string context_token; ///< What the target shows on its own calls.
+    std::string traceparent;
+    std::string idempotency_key;
+    std::string organisation; ///< Whose key came with the request; empty when none did.
+    std::string calling_service;
+    std::string instance; ///< The start of the target that is meant; empty: whichever runs.
+    bool idempotent{true};
 };
 
 struct target_answer {
@@ -38,6 +49,7 @@
     std::uint16_t status{0};
     header_list headers;
     std::string body;
+    bool refuses_connections{false}; ///< After a lost answer: no process listens at the target any more.
 };
 
 struct target_client_settings {
@@ -46,6 +58,7 @@
     std::size_t max_body{1'048'576};
     std::size_t max_header{16'384};
     std::size_t max_requests{8192}; ///< Bound of the ring towards this thread.
+    http_dialect dialect;
 };
 
 class target_call;
@@ -76,7 +89,10 @@
     };
 
     void run_commands();
-    std::unique_ptr<target_connection> take_idle();
+    boost::asio::ip::tcp::endpoint place() const;
+    /// A kept connection that the target should still hold open; null when there is none. One for a request
+    /// that may run once only is taken long before the target's limit.
+    std::unique_ptr<target_connection> take_idle(bool idempotent);
     void give_back(std::unique_ptr<target_connection> connection);
 
     target_client_settings options;
--- a/libraries/link/message.hpp
+++ b/libraries/link/message.hpp
@@ -107,12 +107,18 @@
     std::string ticket;              ///< Raw ticket; empty for idempotent requests.
     std::string trace_id;            ///< 32 hexadecimal digits.
     std::string parent_span;         ///< 16 hexadecimal digits.
+    std::string authority;           ///< Host name that the caller asked for.
+    std::string instance;            ///< The start of the target that is meant; empty: whichever runs.
+    std::string calling_service;     ///< Service of the host where the request began.
+    bool idempotent{true};
+    bool holds_work{false}; ///< A call of a target, for a request that is being served.
 
     template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->call_id, this->request_id, this->organisation, this->route, this->method, this->path,
                 this->headers, this->body, this->deadline_ms, this->priority, this->selection_hash,
-                this->depth, this->allowance, this->ticket, this->trace_id, this->parent_span);
+                this->depth, this->allowance, this->ticket, this->trace_id, this->parent_span,
+                this->authority, this->instance, this->calling_service, this->idempotent, this->holds_work);
     }
 };
 
--- a/libraries/node/core_thread.cpp
+++ b/libraries/node/core_thread.cpp
@@ -15,9 +15,10 @@
 
 } // namespace
 
-core_thread::core_thread(settings wanted, std::uint64_t incarnation, std::function<void(effects&&)> handler)
-    : core(std::move(wanted), incarnation, {}, monotonic_clock::now()), carry_out(std::move(handler)),
-      events(ring_capacity), published(std::make_shared<node_status const>()) {
+core_thread::core_thread(settings wanted, bool platform_is_current, std::uint64_t incarnation,
+                         std::function<void(effects&&)> handler)
+    : core(std::move(wanted), platform_is_current, incarnation, {}, monotonic_clock::now()),
+      carry_out(std::move(handler)), events(ring_capacity), published(std::make_shared<node_status const>()) {
     this->events.set_wake([this] {
         {
             std::lock_guard const guard(this->mutex);
--- a/libraries/node/core_thread.hpp
+++ b/libraries/node/core_thread.hpp
@@ -16,7 +16,8 @@
 class core_thread {
 public:
     /// `carry_out` is called on this thread with what is to be done, and must not block.
-    core_thread(settings wanted, std::uint64_t incarnation, std::function<void(effects&&)> carry_out);
+    core_thread(settings wanted, bool platform_is_current, std::uint64_t incarnation,
+                std::function<void(effects&&)> carry_out);
     ~core_thread();
     core_thread(core_thread const&) = delete;
     core_thread& operator=(core_thread const&) = delete;
--- a/libraries/node/document_spread.cpp
+++ b/libraries/node/document_spread.cpp
@@ -19,10 +19,11 @@
 
 } // namespace
 
-document_spread::document_spread(effects& wanted, time_point start) : out(wanted), started(start) {}
+document_spread::document_spread(effects& wanted, time_point start, bool is_current)
+    : out(wanted), platform_is_current(is_current), started(start) {}
 
 bool document_spread::may_believe_platform(time_point now) const {
-    return this->heard_peer || now - this->started >= peer_wait;
+    return this->platform_is_current || this->heard_peer || now - this->started >= peer_wait;
 }
 
 bool document_spread::is_news(document_state const& document, std::uint64_t revision) const {
--- a/libraries/node/document_spread.hpp
+++ b/libraries/node/document_spread.hpp
@@ -25,7 +25,8 @@
 
 class document_spread {
 public:
-    document_spread(effects& wanted, time_point started);
+    /// `platform_is_current`: the platform never serves an older state than before.
+    document_spread(effects& wanted, time_point started, bool platform_is_current = false);
 
     /// The platform served this document.
     void offer(document_kind kind, bundle content, time_point now);
@@ -80,6 +81,7 @@
                        time_point now);
 
     effects& out;
+    bool platform_is_current;
     time_point started;
     bool heard_peer{false};
     bool news{false};
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -20,14 +20,13 @@
 /// deadline.
 constexpr double target_grace_ms = 50;
 
+/// A call that a target makes shows the time its request has left; what both clocks and the way add to it
+/// stays below this.
+constexpr duration deadline_tolerance{25};
 constexpr std::size_t max_waiting_suspects = 64;
 /// Answers lost within this span of a suspect's death died with it.
 constexpr duration same_death_span{500};
 
-std::string whole_milliseconds(duration span) {
-    return std::to_string(std::max<long long>(1, std::llround(span.milliseconds)));
-}
-
 } // namespace
 
 executor::executor(node_context& shared, time_point started)
@@ -38,15 +37,25 @@
 }
 
 void executor::on_configuration() {
-    auto const* own = this->context.configuration->find_service(this->context.options.service);
+    auto const* own = this->context.configuration == nullptr
+                          ? nullptr
+                          : this->context.configuration->find_service(this->context.options.service);
     if (own == nullptr) {
         return;
     }
-    this->slots = std::min(own->slots, own->connections);
+    int const published = this->listed_slots > 0 ? this->listed_slots : own->slots;
+    this->slots = std::max(1, std::min(published, own->connections));
     this->limiter.set_slots(this->slots);
     this->queue.set_capacity(std::max(least_queue, static_cast<std::size_t>(queue_factor * this->slots)));
 }
 
+void executor::set_listed_slots(int count) {
+    if (count != this->listed_slots) {
+        this->listed_slots = count;
+        this->on_configuration();
+    }
+}
+
 double executor::weight_of(std::string const& organisation) const {
     auto const* known = this->context.configuration->find_organisation(organisation);
     return known == nullptr ? 1 : known->weight;
@@ -62,6 +71,22 @@
     return found == this->by_token.end() ? nullptr : this->find(found->second);
 }
 
+execution* executor::find_by_deadline(time_point call_deadline) {
+    execution* nearest = nullptr;
+    duration distance = deadline_tolerance;
+    for (auto& [id, work] : this->executions) {
+        if (work.stage != execution::state::running) {
+            continue;
+        }
+        auto const apart = std::abs((work.deadline - call_deadline).milliseconds);
+        if (apart < distance.milliseconds) {
+            nearest = &work;
+            distance = {apart};
+        }
+    }
+    return nearest;
+}
+
 void executor::receive(std::string const& from, connection_id connection, forward_message&& request,
                        time_point now) {
     execution work{.id = this->next_id++, .request = std::move(request)};
@@ -73,7 +98,7 @@
         return this->refuse_unqueued(work, result_code::not_ready,
                                      work.is_idempotent() ? outcome::not_run : outcome::not_forwarded, now);
     }
-    if (!work.is_idempotent() && !this->claim_ticket(work, now)) {
+    if (!work.request.ticket.empty() && !this->claim_ticket(work, now)) {
         return;
     }
     if (this->context.phase != node_phase::serving) {
@@ -148,7 +173,7 @@
         this->by_call[{waiter.host, waiter.call_id}] = id;
     }
     queued_work const place{.id = id,
-                            .holds_work = work.request.depth > 0,
+                            .holds_work = work.request.depth > 0 || work.request.holds_work,
                             .priority = work.request.priority,
                             .organisation = work.request.organisation,
                             .weight = weight,
@@ -188,17 +213,21 @@
     auto const left = work.deadline - now;
     target_request request{.id = work.id,
                            .method = work.request.method,
+                           .authority = work.request.authority,
                            .path = work.request.path,
                            .headers = work.request.headers,
                            .body = std::move(work.request.body),
-                           .timeout_ms = left.milliseconds + target_grace_ms};
-    request.headers.push_back({std::string(header::context), work.token});
-    request.headers.push_back({std::string(header::deadline), whole_milliseconds(left)});
-    request.headers.push_back({std::string(header::request_id), work.request.request_id});
-    request.headers.push_back(
-        {std::string(header::traceparent), trace_context{work.request.trace_id, work.span_id}.to_header()});
+                           .timeout_ms = left.milliseconds + target_grace_ms,
+                           .deadline_ms = left.milliseconds,
+                           .request_id = work.request.request_id,
+                           .context_token = work.token,
+                           .traceparent = trace_context{work.request.trace_id, work.span_id}.to_header(),
+                           .organisation = work.request.organisation,
+                           .calling_service = work.request.calling_service,
+                           .instance = work.request.instance,
+                           .idempotent = work.is_idempotent()};
     if (work.right) {
-        request.headers.push_back({std::string(header::idempotency_key), to_hex(work.right->number)});
+        request.idempotency_key = to_hex(work.right->number);
     }
     this->context.out.target_requests.push_back(std::move(request));
 }
@@ -331,8 +360,11 @@
     if (answer.code == result_code::cancelled && now >= work->deadline) {
         answer.code = result_code::deadline_passed;
     }
-    if (answer.code == result_code::target_crashed) {
+    if (answer.code == result_code::target_crashed && answer.refuses_connections) {
         this->note_death(answer.id, now);
+    } else if (answer.code == result_code::target_crashed) {
+        // The target lives: it lost this answer, and nothing speaks against the request.
+        answer.code = result_code::answer_lost;
     }
     this->finish(*work,
                  {.result = answer.result,
@@ -383,20 +415,28 @@
     this->orphan_children(*work);
 }
 
-void executor::note_child_started(execution& parent, std::uint64_t call, time_point now) {
-    parent.children.insert(call);
+void executor::note_call_started(execution& parent, time_point now) {
     if (parent.nested_active++ == 0) {
         parent.nested_since = now;
     }
 }
 
-void executor::note_child_ended(execution& parent, std::uint64_t call, time_point now) {
-    parent.children.erase(call);
+void executor::note_call_ended(execution& parent, time_point now) {
     if (--parent.nested_active == 0) {
         parent.nested_total = parent.nested_total + (now - parent.nested_since);
     }
 }
 
+void executor::note_child_started(execution& parent, std::uint64_t call, time_point now) {
+    parent.children.insert(call);
+    this->note_call_started(parent, now);
+}
+
+void executor::note_child_ended(execution& parent, std::uint64_t call, time_point now) {
+    parent.children.erase(call);
+    this->note_call_ended(parent, now);
+}
+
 void executor::drain(time_point now) {
     std::vector<std::uint64_t> waiting;
     for (auto const& [id, work] : this->executions) {
--- a/libraries/node/executor.hpp
+++ b/libraries/node/executor.hpp
@@ -53,7 +53,8 @@
     bool suspect{false};
     std::string span_id;
 
-    bool is_idempotent() const { return this->request.ticket.empty(); }
+    /// Whether it may run a second time; one with a ticket or marked so may not.
+    bool is_idempotent() const { return this->request.idempotent && this->request.ticket.empty(); }
 };
 
 class executor {
@@ -69,7 +70,14 @@
     /// The live request that shows this token; null when there is none.
     execution* find_by_token(std::string const& token);
     execution* find(std::uint64_t id);
-
+    /// The running request whose deadline is nearest to that of a call; null when none is near enough. A hint
+    /// only: two requests may have the same deadline.
+    execution* find_by_deadline(time_point call_deadline);
+
+    /// The target waits for a call, so the time until its end is not the target's own.
+    void note_call_started(execution& parent, time_point now);
+    void note_call_ended(execution& parent, time_point now);
+    /// The same for a call that surely belongs to the request, and ends with it.
     void note_child_started(execution& parent, std::uint64_t call, time_point now);
     void note_child_ended(execution& parent, std::uint64_t call, time_point now);
 
@@ -80,6 +88,8 @@
     void drain(time_point now);
 
     void on_configuration();
+    /// The host list says how many requests the own target runs at once; 0 when it does not.
+    void set_listed_slots(int count);
 
     std::uint64_t ticket_window(time_point now) { return this->tickets.window(now); }
     std::size_t in_flight() const { return this->running; }
@@ -119,6 +129,7 @@
     std::deque<std::uint64_t> waiting_suspects; ///< One suspect runs at a time.
     time_point suspect_died;
     int slots{1};
+    int listed_slots{0};
 };
 
 } // namespace caraway
--- a/libraries/node/host_list.cpp
+++ b/libraries/node/host_list.cpp
@@ -21,11 +21,21 @@
 }
 
 QJsonObject to_json(listed_host const& entry) {
-    return {{"host", text(entry.host)},
-            {"failure_domain", text(entry.failure_domain)},
-            {"service", text(entry.service)},
-            {"link", text(entry.link)},
-            {"state", entry.leaving ? "leaving" : "live"}};
+    QJsonObject object{{"host", text(entry.host)},
+                       {"failure_domain", text(entry.failure_domain)},
+                       {"service", text(entry.service)},
+                       {"link", text(entry.link)},
+                       {"state", entry.leaving ? "leaving" : "live"}};
+    if (!entry.instance.empty()) {
+        object.insert("instance", text(entry.instance));
+    }
+    if (entry.slots > 0) {
+        object.insert("slots", entry.slots);
+    }
+    if (entry.warm_up_ms > 0) {
+        object.insert("warm_up_ms", entry.warm_up_ms);
+    }
+    return object;
 }
 
 result<listed_host> host_from_json(QJsonObject const& object) {
@@ -33,7 +43,10 @@
                       .failure_domain = object.value("failure_domain").toString().toStdString(),
                       .service = object.value("service").toString().toStdString(),
                       .link = object.value("link").toString().toStdString(),
-                      .leaving = object.value("state").toString() == "leaving"};
+                      .leaving = object.value("state").toString() == "leaving",
+                      .instance = object.value("instance").toString().toStdString(),
+                      .slots = std::max(0, object.value("slots").toInt()),
+                      .warm_up_ms = std::max(0.0, object.value("warm_up_ms").toDouble())};
     BOOST_LEAF_CHECK(parse_endpoint(entry.link));
     bool const named = !entry.host.empty() && entry.host.size() <= max_name &&
                        !entry.failure_domain.empty() && !entry.service.empty();
@@ -69,6 +82,14 @@
     return list;
 }
 
+std::string host_list_to_json(host_list const& list) {
+    QJsonArray rows;
+    for (auto const& entry : list.hosts) {
+        rows.append(to_json(entry));
+    }
+    return compact({{"revision", QString::number(list.revision)}, {"hosts", rows}});
+}
+
 bundle cut_host_list(host_list const& list) {
     auto sorted = list.hosts;
     std::ranges::sort(sorted, {}, &listed_host::host);
--- a/libraries/node/host_list.hpp
+++ b/libraries/node/host_list.hpp
@@ -14,6 +14,9 @@
     std::string service;
     std::string link; ///< IP:PORT.
     bool leaving{false};
+    std::string instance; ///< Names this start of the target; empty when the list does not tell.
+    int slots{0};         ///< Requests that its target runs at once; 0 when the list does not tell.
+    double warm_up_ms{0}; ///< How long the target was still cold when the entry was written.
 
     bool operator==(listed_host const&) const = default;
 };
@@ -27,6 +30,9 @@
 /// "state":"live"|"leaving"}]}.
 result<host_list> parse_host_list(std::string const& text);
 
+/// The inverse.
+std::string host_list_to_json(host_list const& list);
+
 /// The same text for the same hosts everywhere, cut by a hash of the host's name.
 bundle cut_host_list(host_list const& list);
 
--- a/libraries/node/node_context.hpp
+++ b/libraries/node/node_context.hpp
@@ -7,6 +7,7 @@
 #include "node/peer_table.hpp"
 #include "policy/admission_view.hpp"
 #include "policy/quarantine.hpp"
+#include "policy/repeat_budget.hpp"
 #include "policy/retry_allowance.hpp"
 #include "policy/target_chooser.hpp"
 #include "telemetry/metrics.hpp"
@@ -49,6 +50,8 @@
     std::uint64_t incarnation;
     node_phase phase{node_phase::starting};
     configuration_pointer configuration;
+    std::string own_instance;      ///< The start of the own target that the host list names.
+    bool target_is_leaving{false}; ///< The host list says that the own target takes no new work.
     effects out;
     std::deque<addressed_message> local;
     peer_table peers;
@@ -56,6 +59,7 @@
     admission_view admissions;
     target_chooser chooser;
     retry_budget budget;
+    repeat_budget repeats;
     quarantine suspects;
     metrics numbers;
     /// What this node reports of itself.
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -36,9 +36,10 @@
 
 } // namespace
 
-node_core::node_core(settings wanted, std::uint64_t incarnation, rights_timing limits, time_point started)
+node_core::node_core(settings wanted, bool platform_is_current, std::uint64_t incarnation,
+                     rights_timing limits, time_point started)
     : context(std::move(wanted), incarnation, limits, started), local(context, started),
-      origin(context, local), spread(context.out, started), last_now(started) {
+      origin(context, local), spread(context.out, started, platform_is_current), last_now(started) {
     this->context.report = [this] { return this->own_report(this->last_now); };
     // Seeds make links possible before any list was read; rights wait for the list itself.
     this->hosts = seeds_of(this->context.options);
@@ -161,17 +162,35 @@
 
 void node_core::use_configuration(configuration_pointer configuration, time_point now) {
     this->context.configuration = std::move(configuration);
+    this->configure_rights(now);
+    this->local.on_configuration();
+    this->context.out.log(log_level::info, "configuration_in_force",
+                          {{"revision", std::to_string(this->context.configuration->revision())}});
+}
+
+double node_core::domain_weight() const {
     auto const& domains = this->context.configuration->failure_domains();
-    auto const own = domains.find(this->context.options.failure_domain);
-    double const weight = own == domains.end() ? 0 : own->second.usable_weight;
+    auto const& name = this->context.options.failure_domain;
+    if (!domains.empty()) {
+        auto const own = domains.find(name);
+        return own == domains.end() ? 0 : own->second.usable_weight;
+    }
+    auto const in_domain = std::ranges::count(this->hosts, name, &listed_host::failure_domain);
+    return this->hosts.empty() ? 0 : static_cast<double>(in_domain) / static_cast<double>(this->hosts.size());
+}
+
+void node_core::configure_rights(time_point now) {
+    if (this->context.configuration == nullptr) {
+        return;
+    }
+    double const weight = this->domain_weight();
     std::unordered_map<std::string, rate_terms> terms;
     for (auto const& [name, entry] : this->context.configuration->organisations()) {
-        terms[name] = {entry.rate * weight, entry.burst * weight};
+        if (entry.is_limited()) {
+            terms[name] = {entry.rate * weight, entry.burst * weight};
+        }
     }
     this->context.rights.configure(std::move(terms), now);
-    this->local.on_configuration();
-    this->context.out.log(log_level::info, "configuration_in_force",
-                          {{"revision", std::to_string(this->context.configuration->revision())}});
 }
 
 void node_core::use_hosts(host_list const& list, time_point now) {
@@ -183,6 +202,12 @@
     }
     this->context.rights.update_hosts(std::move(listed), now);
     this->context.chooser.keep_only(this->context.peers.listed_hosts());
+    auto const own = std::ranges::find(this->hosts, this->context.options.host, &listed_host::host);
+    bool const is_listed = own != this->hosts.end();
+    this->context.own_instance = is_listed ? own->instance : "";
+    this->context.target_is_leaving = is_listed && own->leaving;
+    this->local.set_listed_slots(is_listed ? own->slots : 0);
+    this->configure_rights(now);
     this->context.out.log(
         log_level::info, "host_list_in_force",
         {{"revision", std::to_string(list.revision)}, {"hosts", std::to_string(this->hosts.size())}});
--- a/libraries/node/node_core.hpp
+++ b/libraries/node/node_core.hpp
@@ -25,7 +25,8 @@
 
 class node_core {
 public:
-    node_core(settings wanted, std::uint64_t incarnation, rights_timing limits, time_point started);
+    node_core(settings wanted, bool platform_is_current, std::uint64_t incarnation, rights_timing limits,
+              time_point started);
 
     void handle(core_event&& event, time_point now);
     void tick(time_point now);
@@ -49,6 +50,9 @@
     void on_gossip(addressed_message const& received, time_point now);
     void use_hosts(host_list const& list, time_point now);
     void use_configuration(configuration_pointer configuration, time_point now);
+    /// The part of every rate and burst that the own failure domain holds: as configured, or by listed hosts.
+    double domain_weight() const;
+    void configure_rights(time_point now);
     void gossip(time_point now);
     void send_gossip(std::string const& host, bool wants_answer, time_point now);
     void flush(time_point now);
--- a/libraries/node/node_runtime.cpp
+++ b/libraries/node/node_runtime.cpp
@@ -20,8 +20,6 @@
 constexpr duration least_drain{1500};
 /// Nothing was live for this long: no request is on its way either.
 constexpr duration idle_span{300};
-/// What is still live by then will not end.
-constexpr duration longest_drain{60'000};
 constexpr int close_pause_ms = 200;
 constexpr std::size_t max_compiles = 64;
 /// Room in a link message beside the body: header fields and the message's own.
@@ -30,16 +28,16 @@
 
 } // namespace
 
-node_runtime::node_runtime(settings wanted)
-    : options(std::move(wanted)), incarnation(random_number()),
+node_runtime::node_runtime(settings wanted, platform_binding spoken)
+    : options(std::move(wanted)), binding(std::move(spoken)), incarnation(random_number()),
       telemetry({.service = "carawayd",
                  .host = options.host,
                  .file_descriptor = options.span_file_descriptor,
                  .post = options.span_url.empty()
                              ? std::function<void(std::string)>{}
                              : [this](std::string text) { this->post_spans(std::move(text)); }}),
-      compiles(max_compiles),
-      core(options, incarnation, [this](effects&& all) { this->carry_out(std::move(all)); }),
+      compiles(max_compiles), core(options, binding.is_current, incarnation,
+                                   [this](effects&& all) { this->carry_out(std::move(all)); }),
       links({options.host, incarnation}, options.fleet_secret,
             std::max(least_message, options.max_body + message_overhead),
             [this](link_event&& event) { return this->core.push(std::move(event)); }),
@@ -47,7 +45,8 @@
               .port = options.target.port,
               .max_body = options.max_body,
               .max_header = options.max_header,
-              .max_requests = options.max_requests},
+              .max_requests = options.max_requests,
+              .dialect = binding.dialect},
              [this](target_answer&& answer) {
                  [[maybe_unused]] bool const taken = this->core.push(std::move(answer));
              }) {
@@ -80,7 +79,9 @@
                                                 .max_body = this->options.max_body,
                                                 .max_header = this->options.max_header,
                                                 .max_connections = this->options.max_connections,
-                                                .idle_timeout_ms = this->options.idle_timeout_ms},
+                                                .idle_timeout_ms = this->options.idle_timeout_ms,
+                                                .max_pipeline = this->options.max_pipeline,
+                                                .dialect = this->binding.dialect},
                                   this->make_door_events(side));
 }
 
@@ -88,16 +89,38 @@
     BOOST_LEAF_ASSIGN(this->chart,
                       lifecycle::create([this](std::string const& name) { this->on_state(name); }));
     this->callers = this->make_door(this->options.callers, door_side::callers);
-    this->egress = this->make_door(this->options.egress, door_side::egress);
+    if (this->options.egress) {
+        this->egress = this->make_door(*this->options.egress, door_side::egress);
+    }
     this->page = std::make_unique<operator_page>([this] { return this->core.status(); });
     BOOST_LEAF_CHECK(this->page->open(this->options.operators));
+    if (this->options.readiness) {
+        BOOST_LEAF_CHECK(this->page->open_readiness(*this->options.readiness));
+    }
     BOOST_LEAF_CHECK(this->links.listen(this->options.link.text()));
     this->target.start();
     this->core.start();
     BOOST_LEAF_CHECK(this->callers->open());
-    BOOST_LEAF_CHECK(this->egress->open());
-    this->platform = std::make_unique<platform_reader>(
-        this->options.platform_url,
+    if (this->egress != nullptr) {
+        BOOST_LEAF_CHECK(this->egress->open());
+    }
+    this->open_platform();
+    QObject::connect(&this->trim_timer, &QTimer::timeout, &this->control, [] { ::malloc_trim(0); });
+    this->trim_timer.start(trim_interval_ms);
+    QObject::connect(&this->watch_timer, &QTimer::timeout, &this->control, [this] { this->watch_core(); });
+    this->watch_timer.start(watch_interval_ms);
+    this->chart->start();
+    this->telemetry.take(log_entry{log_level::info,
+                                   "started",
+                                   {{"host", this->options.host},
+                                    {"failure_domain", this->options.failure_domain},
+                                    {"service", this->options.service}}});
+    return {};
+}
+
+void node_runtime::open_platform() {
+    this->platform = this->binding.open(
+        this->options,
         platform_events{
             .configuration =
                 [this](bundle&& content) {
@@ -122,17 +145,19 @@
                         log_entry{log_level::warn, "platform_unreachable", {{"reason", reason}}});
                 }});
     this->platform->set_active(true);
-    QObject::connect(&this->trim_timer, &QTimer::timeout, &this->control, [] { ::malloc_trim(0); });
-    this->trim_timer.start(trim_interval_ms);
-    QObject::connect(&this->watch_timer, &QTimer::timeout, &this->control, [this] { this->watch_core(); });
-    this->watch_timer.start(watch_interval_ms);
-    this->chart->start();
-    this->telemetry.take(log_entry{log_level::info,
-                                   "started",
-                                   {{"host", this->options.host},
-                                    {"failure_domain", this->options.failure_domain},
-                                    {"service", this->options.service}}});
-    return {};
+}
+
+void node_runtime::reload(settings const& fresh) {
+    bool const needs_restart = fresh.callers.text() != this->options.callers.text() ||
+                               fresh.link.text() != this->options.link.text() ||
+                               fresh.target.text() != this->options.target.text() ||
+                               fresh.service != this->options.service;
+    set_log_level(fresh.log_level);
+    this->options.log_level = fresh.log_level;
+    this->telemetry.take(
+        log_entry{needs_restart ? log_level::warn : log_level::info,
+                  "settings_reloaded",
+                  {{"log_level", fresh.log_level}, {"needs_restart", needs_restart ? "true" : "false"}}});
 }
 
 void node_runtime::carry_out(effects&& wanted) {
@@ -226,7 +251,9 @@
         this->callers->drain();
     } else if (name == "closing") {
         this->callers->close_idle();
-        this->egress->close_idle();
+        if (this->egress != nullptr) {
+            this->egress->close_idle();
+        }
         QTimer::singleShot(close_pause_ms, &this->control, [this] { this->chart->raise("closed"); });
     } else if (name == "stopped") {
         this->core.push(phase_event{node_phase::stopped});
@@ -250,7 +277,7 @@
     bool const drained = now - this->draining_since >= least_drain && now - this->idle_since >= idle_span;
     if (drained) {
         this->chart->raise("drained");
-    } else if (now - this->draining_since >= longest_drain) {
+    } else if (now - this->draining_since >= duration{this->options.drain_ms}) {
         this->chart->raise("drain.timeout");
     }
 }
--- a/libraries/node/node_runtime.hpp
+++ b/libraries/node/node_runtime.hpp
@@ -12,9 +12,10 @@
 #include "node/core_thread.hpp"
 #include "node/lifecycle.hpp"
 #include "node/operator_page.hpp"
-#include "platform/platform_reader.hpp"
+#include "platform/platform_source.hpp"
 #include "telemetry/exporter.hpp"
 
+#include <QNetworkAccessManager>
 #include <QObject>
 #include <QTimer>
 
@@ -24,7 +25,7 @@
 
 class node_runtime {
 public:
-    explicit node_runtime(settings wanted);
+    node_runtime(settings wanted, platform_binding spoken);
     ~node_runtime();
     node_runtime(node_runtime const&) = delete;
     node_runtime& operator=(node_runtime const&) = delete;
@@ -32,6 +33,10 @@
     /// Opens all addresses and starts all threads.
     result<void> start();
 
+    /// Takes settings that were read again: what can change while the process runs is used, the rest is
+    /// logged.
+    void reload(settings const& fresh);
+
     /// Begins to leave; the event loop ends when everything is answered.
     void terminate();
 
@@ -45,7 +50,10 @@
     door_events make_door_events(door_side side);
     std::unique_ptr<door> make_door(endpoint const& address, door_side side);
 
+    void open_platform();
+
     settings options;
+    platform_binding binding;
     std::uint64_t incarnation;
     QObject control; ///< Lives on the control thread; receives what is queued to it.
     exporter telemetry;
@@ -56,7 +64,7 @@
     std::unique_ptr<door> callers;
     std::unique_ptr<door> egress;
     std::unique_ptr<operator_page> page;
-    std::unique_ptr<platform_reader> platform;
+    std::unique_ptr<platform_source> platform;
     std::unique_ptr<lifecycle> chart;
     QNetworkAccessManager span_network;
     QTimer watch_timer;
--- a/libraries/node/operator_page.cpp
+++ b/libraries/node/operator_page.cpp
@@ -2,6 +2,7 @@
 
 #include <QHostAddress>
 #include <QHttpServer>
+#include <QHttpServerResponder>
 #include <QHttpServerResponse>
 
 namespace caraway {
@@ -14,6 +15,14 @@
     return {"text/plain", QByteArray::fromStdString(text), code};
 }
 
+result<void> listen(QHttpServer& server, endpoint const& address, std::string const& name) {
+    if (server.listen(QHostAddress(QString::fromStdString(address.address)), address.port) == 0) {
+        return fail(
+            {result_code::io_failed, "The " + name + " address " + address.text() + " can't be opened."});
+    }
+    return {};
+}
+
 } // namespace
 
 operator_page::operator_page(status_source source)
@@ -34,13 +43,18 @@
 operator_page::~operator_page() = default;
 
 result<void> operator_page::open(endpoint const& address) {
-    auto const port =
-        this->server->listen(QHostAddress(QString::fromStdString(address.address)), address.port);
-    if (port == 0) {
-        return fail(
-            {result_code::io_failed, "The operators' address " + address.text() + " can't be opened."});
-    }
-    return {};
+    return listen(*this->server, address, "operators'");
+}
+
+result<void> operator_page::open_readiness(endpoint const& address) {
+    this->readiness = std::make_unique<QHttpServer>();
+    this->readiness->setMissingHandler([this](QHttpServerRequest const&, QHttpServerResponder&& responder) {
+        bool const ready = this->status()->ready;
+        responder.write(QByteArray(ready ? "ready\n" : "not ready\n"), "text/plain",
+                        ready ? QHttpServerResponder::StatusCode::Ok
+                              : QHttpServerResponder::StatusCode::ServiceUnavailable);
+    });
+    return listen(*this->readiness, address, "readiness");
 }
 
 } // namespace caraway
--- a/libraries/node/operator_page.hpp
+++ b/libraries/node/operator_page.hpp
@@ -25,10 +25,13 @@
     operator_page& operator=(operator_page const&) = delete;
 
     result<void> open(endpoint const& address);
+    /// Opens a second address that answers every request by 200 while the node takes new work, else by 503.
+    result<void> open_readiness(endpoint const& address);
 
 private:
     status_source status;
     std::unique_ptr<QHttpServer> server;
+    std::unique_ptr<QHttpServer> readiness;
 };
 
 } // namespace caraway
--- a/libraries/node/originator.cpp
+++ b/libraries/node/originator.cpp
@@ -1,7 +1,6 @@
 #include "node/originator.hpp"
 
 #include "base/digest.hpp"
-#include "http/header_rules.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -24,18 +23,21 @@
 /// A node keeps this much of the time it was given, so that its own answer still arrives in time.
 constexpr double hop_reserve_ms = 1;
 
-std::string whole_seconds(double milliseconds) {
-    return std::to_string(std::max<long long>(1, std::llround(std::ceil(milliseconds / 1000))));
-}
-
 bool is_broken(answer_message const& answer) {
     return answer.code == result_code::target_crashed || answer.code == result_code::target_unreachable ||
-           answer.code == result_code::target_malformed || answer.code == result_code::peer_lost;
+           answer.code == result_code::target_malformed || answer.code == result_code::peer_lost ||
+           answer.code == result_code::answer_lost;
 }
 
 bool is_refusal(answer_message const& answer) {
     return answer.code == result_code::overloaded || answer.code == result_code::queue_timeout ||
-           answer.code == result_code::node_busy;
+           answer.code == result_code::node_busy || answer.code == result_code::target_refused;
+}
+
+/// Whether the request reached a target, so that another attempt is a repeat for its service.
+bool has_arrived(answer_message const& answer) {
+    return answer.result != outcome::not_run || answer.code == result_code::target_refused ||
+           answer.code == result_code::target_replaced;
 }
 
 /// Whether another host may well take what this one refused. More of the same into an overloaded service
@@ -43,7 +45,31 @@
 bool is_worth_another_host(result_code code) {
     return code == result_code::leaving || code == result_code::target_unreachable ||
            code == result_code::node_busy || code == result_code::not_ready ||
-           code == result_code::queue_timeout;
+           code == result_code::queue_timeout || code == result_code::target_refused ||
+           code == result_code::target_replaced;
+}
+
+/// Whether an idempotent request may well get its answer from another attempt. A crash is not tried again: if
+/// the request is its cause, the next target would die as well.
+bool is_worth_repeating(result_code code) {
+    return code == result_code::peer_lost || code == result_code::answer_lost ||
+           code == result_code::target_malformed;
+}
+
+/// The service that runs a request of the route; `random` decides among the parts of a split.
+std::string const& choose_service(route const& matched, std::uint64_t random) {
+    double total = 0;
+    for (auto const& part : matched.split) {
+        total += part.weight;
+    }
+    double place = selection_position(random) * total;
+    for (auto const& part : matched.split) {
+        if (place < part.weight) {
+            return part.service;
+        }
+        place -= part.weight;
+    }
+    return matched.service;
 }
 
 span make_span(origin_call const& call, answer_message const& answer) {
@@ -68,7 +94,7 @@
 originator::originator(node_context& shared, executor& own_executor) : context(shared), local(own_executor) {}
 
 outcome originator::unsent_outcome(origin_call const& call) {
-    bool const may_have_copies = !call.idempotent && (call.parent == 0 || call.is_repeated);
+    bool const may_have_copies = call.needs_ticket && (call.parent == 0 || call.is_repeated);
     return may_have_copies ? outcome::not_forwarded : outcome::not_run;
 }
 
@@ -84,8 +110,12 @@
     auto const result = request.idempotency_key.empty() ? outcome::not_run : outcome::not_forwarded;
     this->context.numbers.count_answer(result, code);
     door_answer answer{.id = request.id, .status = entry.http_status, .body = std::string(entry.name) + "\n"};
-    answer.headers = {{std::string(header::result_outcome), std::string(name_of(result))},
-                      {std::string(header::result_code), std::to_string(static_cast<int>(code))}};
+    answer.note = answer_note{.result = result,
+                              .code = code,
+                              .request_id = request.request_id,
+                              .retry_after_ms = entry.http_status == 503 ? overload_retry_after_ms : 0};
+    this->context.out.log(log_level::info, "request_rejected",
+                          {{"request_id", request.request_id}, {"code", std::string(entry.name)}});
     this->answer_door(request.side, std::move(answer));
 }
 
@@ -96,7 +126,8 @@
     if (this->calls.size() >= this->context.options.max_requests) {
         return this->reject(request, result_code::node_busy, now);
     }
-    auto const* matched = this->context.configuration->find_route(request.method, request.path);
+    auto const* matched =
+        this->context.configuration->find_route(request.method, request.authority, request.path);
     if (matched == nullptr) {
         return this->reject(request, result_code::route_unknown, now);
     }
@@ -108,6 +139,13 @@
         }
         return this->begin_nested(std::move(request), *matched, *parent, now);
     }
+    bool const may_be_nested = this->context.options.calls == call_context::deadline && matched->open &&
+                               request.key_sha256.empty() && request.timeout_ms > 0;
+    if (may_be_nested) {
+        if (auto* parent = this->local.find_by_deadline(now + duration{request.timeout_ms})) {
+            return this->begin_inferred(std::move(request), *matched, *parent, now);
+        }
+    }
     auto const* owner = this->context.configuration->find_organisation_by_key(request.key_sha256);
     if (owner == nullptr && !matched->open) {
         bool const missing = request.key_sha256.empty();
@@ -118,8 +156,12 @@
 
 origin_call originator::make_call(door_request&& request, route const& matched, time_point now) {
     origin_call call{.id = this->next_id++, .side = request.side, .door_id = request.id};
-    call.service = matched.service;
+    call.service = choose_service(matched, random_number());
     call.idempotent = matched.idempotent;
+    call.needs_ticket = !matched.idempotent && matched.tickets;
+    call.request.idempotent = matched.idempotent;
+    call.request.authority = std::move(request.authority);
+    call.request.calling_service = this->context.options.service;
     call.arrived = now;
     call.arrived_wall = wall_clock_nanoseconds();
     call.request.route = matched.name;
@@ -146,7 +188,7 @@
     call.parent_span = trace.span_id;
     call.request.selection_hash = fast_hash(call.request.request_id);
     call.allowance = retry_allowance(matched.retry_allowance);
-    if (!call.idempotent && !this->check_ticket(call, ticket_text, now)) {
+    if (call.needs_ticket && !this->check_ticket(call, ticket_text, now)) {
         return;
     }
     this->admit(std::move(call), now);
@@ -168,6 +210,7 @@
     call.deadline = std::min(call.deadline, parent.deadline);
     call.request.organisation = parent.request.organisation;
     call.request.request_id = parent.request.request_id;
+    call.request.holds_work = true;
     call.request.selection_hash = parent.request.selection_hash;
     call.request.priority = parent.request.priority;
     call.request.depth = static_cast<std::uint8_t>(parent.request.depth + 1);
@@ -178,9 +221,30 @@
     auto const id = call.id;
     auto& stored = this->calls.emplace(id, std::move(call)).first->second;
     this->context.budget.note_first_attempt(stored.request.organisation);
+    this->context.repeats.note_first_attempt(stored.service);
     this->dispatch(stored, now);
 }
 
+void originator::begin_inferred(door_request&& request, route const& matched, execution& parent,
+                                time_point now) {
+    if (parent.request.depth + 1 >= max_depth) {
+        return this->reject(request, result_code::request_malformed, now);
+    }
+    auto call = this->make_call(std::move(request), matched, now);
+    call.likely_parent = parent.id;
+    call.allowance = retry_allowance(matched.retry_allowance);
+    call.request.holds_work = true;
+    call.request.selection_hash = parent.request.selection_hash;
+    call.request.priority = parent.request.priority;
+    call.request.depth = static_cast<std::uint8_t>(parent.request.depth + 1);
+    call.request.trace_id = parent.request.trace_id;
+    call.parent_span = parent.span_id;
+    this->local.note_call_started(parent, now);
+    this->by_door[{call.side, call.door_id}] = call.id;
+    auto const id = call.id;
+    this->dispatch(this->calls.emplace(id, std::move(call)).first->second, now);
+}
+
 bool originator::check_ticket(origin_call& call, std::string const& text, time_point now) {
     if (text.empty()) {
         this->hand_out_ticket(call, result_code::ticket_required, outcome::not_run, now);
@@ -216,12 +280,9 @@
     this->context.numbers.count_answer(result, shown);
     door_answer answer{
         .id = call.door_id, .status = entry.http_status, .body = std::string(entry.name) + "\n"};
-    answer.headers = {{std::string(header::result_outcome), std::string(name_of(result))},
-                      {std::string(header::result_code), std::to_string(static_cast<int>(shown))},
-                      {std::string(header::request_id), call.request.request_id}};
+    answer.note = answer_note{.result = result, .code = shown, .request_id = call.request.request_id};
     if (fresh) {
-        answer.headers.push_back(
-            {std::string(header::idempotency_key), fresh->to_text(this->context.options.fleet_secret)});
+        answer.note->ticket = fresh->to_text(this->context.options.fleet_secret);
     }
     this->answer_door(call.side, std::move(answer));
 }
@@ -238,8 +299,9 @@
     auto const id = call.id;
     this->by_door[{call.side, call.door_id}] = id;
     auto& stored = this->calls.emplace(id, std::move(call)).first->second;
+    auto const* owner = this->context.configuration->find_organisation(stored.request.organisation);
     bool const limited =
-        !stored.request.organisation.empty() && this->context.options.mode != control_mode::off;
+        owner != nullptr && owner->is_limited() && this->context.options.mode != control_mode::off;
     if (!limited) {
         return this->dispatch(stored, now);
     }
@@ -315,8 +377,8 @@
 
 std::optional<std::string> originator::choose_host(origin_call const& call, time_point now) {
     auto candidates = this->context.peers.candidates(call.service, now);
-    bool const own =
-        call.service == this->context.options.service && this->context.phase == node_phase::serving;
+    bool const own = call.service == this->context.options.service &&
+                     this->context.phase == node_phase::serving && !this->context.target_is_leaving;
     if (own) {
         auto const report = this->context.report();
         candidates.push_back({this->context.options.host, true, report.in_flight, report.limit, {0}});
@@ -324,6 +386,14 @@
     return this->context.chooser.choose(candidates, call.idempotent, random_number(), now);
 }
 
+std::string originator::instance_of(std::string const& host) const {
+    if (host == this->context.options.host) {
+        return this->context.own_instance;
+    }
+    auto const* peer = this->context.peers.find(host);
+    return peer == nullptr ? "" : peer->entry.instance;
+}
+
 bool originator::right_is_gone(origin_call const& call) const {
     if (call.right->host == this->context.options.host) {
         return call.right->incarnation != this->context.incarnation;
@@ -339,6 +409,7 @@
         call.parked = now;
         if (call.parent == 0) {
             this->context.budget.note_first_attempt(call.request.organisation);
+            this->context.repeats.note_first_attempt(call.service);
         }
     }
     std::optional<std::string> host;
@@ -349,7 +420,7 @@
         }
         host = call.right->host;
         this->context.peers.want(*host, now);
-    } else if (!call.idempotent) {
+    } else if (call.needs_ticket) {
         this->take_nested_ticket(call, now);
         host = call.right ? std::optional(call.right->host) : std::nullopt;
     } else {
@@ -401,6 +472,7 @@
     auto& allowance = this->allowance_of(call);
     int const part = allowance.hand_down();
     call.request.allowance = static_cast<std::uint8_t>(part);
+    call.request.instance = this->instance_of(host);
     // A copy is kept whole: it may have to be sent again.
     bool const sent = this->context.deliver(host, call.request, now, 0, &call.connection);
     if (!sent) {
@@ -426,7 +498,7 @@
 void originator::learn(origin_call const& call, std::string const& from, answer_message const& answer,
                        time_point now) {
     this->context.peers.on_report(from, answer.report, now);
-    auto* parent = call.parent == 0 ? nullptr : this->local.find(call.parent);
+    auto* parent = this->local.find(call.parent != 0 ? call.parent : call.likely_parent);
     for (auto const& report : answer.admissions) {
         this->context.admissions.learn(call.request.route, report.service, call.request.organisation,
                                        report.admitted, now);
@@ -441,14 +513,13 @@
 }
 
 bool originator::may_retry(origin_call& call, answer_message const& answer) {
-    bool const is_root_ticket = !call.idempotent && call.parent == 0;
+    bool const is_root_ticket = call.needs_ticket && call.parent == 0;
     // A caller may still hold a copy of its ticket: running it elsewhere under a new one could run it twice.
     if (is_root_ticket || call.caller_gone) {
         return false;
     }
     bool const refused_elsewhere = answer.result == outcome::not_run && is_worth_another_host(answer.code);
-    // A crash is not tried again: if the request is its cause, the next target would die as well.
-    bool const lost = call.idempotent && answer.code == result_code::peer_lost;
+    bool const lost = call.idempotent && is_worth_repeating(answer.code);
     if (!refused_elsewhere && !lost) {
         return false;
     }
@@ -456,6 +527,9 @@
     if (allowance.left() <= 0 || !this->context.budget.take(call.request.organisation)) {
         return false;
     }
+    if (has_arrived(answer) && !this->context.repeats.take(call.service)) {
+        return false;
+    }
     return allowance.take();
 }
 
@@ -541,19 +615,15 @@
     if (answer.code != result_code::ok) {
         reply.body = std::string(entry.name) + "\n";
     }
-    reply.headers.push_back({std::string(header::result_outcome), std::string(name_of(answer.result))});
-    reply.headers.push_back(
-        {std::string(header::result_code), std::to_string(static_cast<int>(answer.code))});
-    reply.headers.push_back({std::string(header::request_id), call.request.request_id});
-    if (answer.retry_after_ms > 0 && answer.result != outcome::ran) {
-        reply.headers.push_back({"Retry-After", whole_seconds(answer.retry_after_ms)});
-    }
-    bool const is_refused_ticket = !call.idempotent && call.parent == 0 && answer.result == outcome::not_run;
+    reply.note = answer_note{.result = answer.result,
+                             .code = answer.code,
+                             .request_id = call.request.request_id,
+                             .retry_after_ms = answer.retry_after_ms};
+    bool const is_refused_ticket = call.needs_ticket && call.parent == 0 && answer.result == outcome::not_run;
     if (is_refused_ticket) {
         // The old ticket is spent; with this one the caller may try again at once.
         if (auto const fresh = this->new_ticket(call, now)) {
-            reply.headers.push_back(
-                {std::string(header::idempotency_key), fresh->to_text(this->context.options.fleet_secret)});
+            reply.note->ticket = fresh->to_text(this->context.options.fleet_secret);
         }
     }
     return reply;
@@ -571,6 +641,9 @@
     if (auto* parent = call.parent == 0 ? nullptr : this->local.find(call.parent)) {
         this->local.note_child_ended(*parent, call.id, now);
     }
+    if (auto* parent = call.likely_parent == 0 ? nullptr : this->local.find(call.likely_parent)) {
+        this->local.note_call_ended(*parent, now);
+    }
     this->calls.erase(call.id);
 }
 
--- a/libraries/node/originator.hpp
+++ b/libraries/node/originator.hpp
@@ -26,9 +26,14 @@
     forward_message request;
     std::string service;
     bool idempotent{true};
+    bool needs_ticket{false}; ///< Not idempotent, and run under a ticket only.
     std::optional<ticket> right;
     std::string call_key; ///< The target's own key for this call.
-    std::uint64_t parent{0};
+    std::uint64_t parent{
+        0}; ///< The request of the own target that makes this call, as its token shows; 0 for none.
+    /// The request that seems to make this call, by its deadline; 0 for none. Good for what only costs work
+    /// when it is wrong: rank, and what is learnt of the services below.
+    std::uint64_t likely_parent{0};
     time_point arrived;
     std::uint64_t arrived_wall{0};
     time_point parked;
@@ -72,6 +77,8 @@
 
     void begin_root(door_request&& request, route const& matched, std::string const& organisation,
                     time_point now);
+    /// A call of the own target without a token; `parent` is who seems to make it.
+    void begin_inferred(door_request&& request, route const& matched, execution& parent, time_point now);
     void begin_nested(door_request&& request, route const& matched, execution& parent, time_point now);
     origin_call make_call(door_request&& request, route const& matched, time_point now);
     /// Checks the ticket of a caller's non-idempotent request, or hands one out. False when the call is
@@ -86,6 +93,8 @@
     bool admit_by_host(std::string const& organisation, time_point now);
     void dispatch(origin_call& call, time_point now);
     std::optional<std::string> choose_host(origin_call const& call, time_point now);
+    /// The start of the host's target that the list names; empty when it names none.
+    std::string instance_of(std::string const& host) const;
     bool right_is_gone(origin_call const& call) const;
     void send_attempt(origin_call& call, std::string const& host, time_point now);
     bool may_retry(origin_call& call, answer_message const& answer);
--- a/libraries/platform/platform_reader.cpp
+++ b/libraries/platform/platform_reader.cpp
@@ -3,7 +3,6 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <QNetworkReply>
-#include <QNetworkRequest>
 
 namespace caraway {
 
@@ -12,14 +11,11 @@
 constexpr int watch_wait_ms = 10'000;
 constexpr int transfer_timeout_ms = 15'000;
 constexpr int retry_pause_ms = 500;
-/// A value of a megabyte as JSON text, with room for escapes.
-constexpr qint64 max_reply_bytes = 4'000'000;
 
 } // namespace
 
 platform_reader::platform_reader(std::string base_url, platform_events handlers)
-    : url(std::move(base_url)), events(std::move(handlers)) {
-    this->network.setTransferTimeout(transfer_timeout_ms);
+    : events(std::move(handlers)), client(std::move(base_url), transfer_timeout_ms) {
     this->retry.setSingleShot(true);
     QObject::connect(&this->retry, &QTimer::timeout, &this->retry, [this] {
         this->start(this->manifest_watch);
@@ -36,20 +32,6 @@
     }
 }
 
-void platform_reader::get(std::string const& path, std::function<void(QNetworkReply&)> handler) {
-    ++this->calls;
-    auto* reply = this->network.get(QNetworkRequest(QUrl(QString::fromStdString(this->url + path))));
-    QObject::connect(reply, &QNetworkReply::downloadProgress, reply, [reply](qint64 received, qint64) {
-        if (received > max_reply_bytes) {
-            reply->abort();
-        }
-    });
-    QObject::connect(reply, &QNetworkReply::finished, reply, [reply, handler = std::move(handler)] {
-        handler(*reply);
-        reply->deleteLater();
-    });
-}
-
 void platform_reader::fail(std::string const& reason) {
     this->events.failure(reason);
     if (!this->retry.isActive()) {
@@ -62,9 +44,9 @@
         return;
     }
     wanted.running = true;
-    this->get("/v1/watch/" + wanted.name + "?after=" + wanted.after +
-                  "&wait_ms=" + std::to_string(watch_wait_ms),
-              [this, &wanted](QNetworkReply& reply) { this->on_watched(wanted, reply); });
+    this->client.get("/v1/watch/" + wanted.name + "?after=" + wanted.after +
+                         "&wait_ms=" + std::to_string(watch_wait_ms),
+                     [this, &wanted](QNetworkReply& reply) { this->on_watched(wanted, reply); });
 }
 
 void platform_reader::on_watched(watch& wanted, QNetworkReply& reply) {
@@ -123,7 +105,7 @@
         return this->events.configuration(bundle(this->held));
     }
     auto const name = this->missing.back();
-    this->get("/v1/values/" + name, [this, name](QNetworkReply& reply) {
+    this->client.get("/v1/values/" + name, [this, name](QNetworkReply& reply) {
         bool const expected = this->gathering && !this->missing.empty() && this->missing.back() == name;
         if (!expected) {
             return;
@@ -141,4 +123,11 @@
     });
 }
 
+platform_binding document_binding() {
+    return {
+        .open = [](settings const& options, platform_events handlers) -> std::unique_ptr<platform_source> {
+            return std::make_unique<platform_reader>(options.platform_url, std::move(handlers));
+        }};
+}
+
 } // namespace caraway
--- /dev/null
+++ b/libraries/platform/platform_source.hpp
@@ -0,0 +1,46 @@
+/// What a node needs of the platform, whatever the platform speaks.
+#pragma once
+
+#include "config/bundle.hpp"
+#include "config/settings.hpp"
+#include "http/http_dialect.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace caraway {
+
+/// What a platform source reports; called on the control thread.
+struct platform_events {
+    std::function<void(bundle&&)> configuration;
+    /// The host list as JSON text (node/host_list.hpp).
+    std::function<void(std::string&&)> hosts;
+    std::function<void(std::string const& reason)> failure;
+};
+
+/// Reads and watches the platform. The kind is chosen by a setting when the process starts.
+class platform_source {
+public:
+    platform_source() = default;
+    virtual ~platform_source() = default;
+    platform_source(platform_source const&) = delete;
+    platform_source& operator=(platform_source const&) = delete;
+
+    /// Starts or stops watching; a watch under way is left to end by itself.
+    virtual void set_active(bool active) = 0;
+};
+
+/// One way to run on a platform: how it is read, and what callers and targets speak on it.
+struct platform_binding {
+    http_dialect dialect;
+    /// The platform never serves an older state than it served before, so a node that starts need not ask its
+    /// peers before it believes it.
+    bool is_current{false};
+    std::function<std::unique_ptr<platform_source>(settings const&, platform_events)> open;
+};
+
+/// The product's own interface: documents read and watched by name.
+platform_binding document_binding();
+
+} // namespace caraway
--- a/libraries/telemetry/log.cpp
+++ b/libraries/telemetry/log.cpp
@@ -30,8 +30,12 @@
 
 void open_log(std::string const& level) {
     auto const layout = std::make_shared<log4cxx::JSONLayout>();
-    auto const appender = std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err");
+    auto const appender = std::make_shared<log4cxx::ConsoleAppender>(layout, "System.out");
     log4cxx::Logger::getRootLogger()->addAppender(appender);
+    set_log_level(level);
+}
+
+void set_log_level(std::string const& level) {
     logger()->setLevel(log4cxx::Level::toLevel(level));
 }
 
--- a/libraries/telemetry/log.hpp
+++ b/libraries/telemetry/log.hpp
@@ -17,9 +17,12 @@
     header_list fields;
 };
 
-/// Sends lines to standard error from `level` on; call it once before `write_log`.
+/// Sends lines to standard output from `level` on; call it once before `write_log`.
 void open_log(std::string const& level);
 
+/// Thread-safe; changes what `write_log` leaves out.
+void set_log_level(std::string const& level);
+
 /// Thread-safe.
 void write_log(log_entry const& entry);
 
--- a/services/carawayd/main.cpp
+++ b/services/carawayd/main.cpp
@@ -1,6 +1,7 @@
 /// carawayd: the process that sits on each target host.
 
 #include "node/node_runtime.hpp"
+#include "platform/registry_binding.hpp"
 
 #include <QCoreApplication>
 #include <QSocketNotifier>
@@ -22,8 +23,8 @@
 
 std::array<int, 2> signal_pipe{-1, -1};
 
-extern "C" void on_signal(int) {
-    char const byte = 1;
+extern "C" void on_signal(int number) {
+    char const byte = static_cast<char>(number);
     [[maybe_unused]] auto const written = ::write(signal_pipe[1], &byte, 1);
 }
 
@@ -32,13 +33,45 @@
     return cause.code == result_code::io_failed ? exit_failure : exit_usage;
 }
 
-result<int> serve(settings const& read, QCoreApplication& application) {
+result<platform_binding> choose_binding(settings const& read) {
+    if (read.platform_interface == "documents") {
+        return document_binding();
+    }
+    if (read.platform_interface == registry::interface_name) {
+        return registry::binding();
+    }
+    return fail({result_code::configuration_out_of_bounds,
+                 "'platform.interface' does not know '" + read.platform_interface + "'."});
+}
+
+/// Reads the settings again; wrong ones are reported and change nothing.
+void reload(node_runtime& node, std::string const& path) {
+    attempt_or(
+        [&]() -> result<bool> {
+            BOOST_LEAF_AUTO(fresh, read_settings(path));
+            node.reload(fresh);
+            return true;
+        },
+        [](problem const& cause) {
+            report(cause);
+            return false;
+        });
+}
+
+result<int> serve(settings const& read, std::string const& path, QCoreApplication& application) {
     open_log(read.log_level);
-    node_runtime node(read);
+    BOOST_LEAF_AUTO(binding, choose_binding(read));
+    node_runtime node(read, std::move(binding));
     BOOST_LEAF_CHECK(node.start());
     QSocketNotifier notifier(signal_pipe[0], QSocketNotifier::Read);
-    QObject::connect(&notifier, &QSocketNotifier::activated, &application, [&node, &notifier] {
-        notifier.setEnabled(false);
+    QObject::connect(&notifier, &QSocketNotifier::activated, &application, [&node, &path] {
+        char byte = 0;
+        if (::read(signal_pipe[0], &byte, 1) != 1) {
+            return;
+        }
+        if (byte == SIGHUP) {
+            return reload(node, path);
+        }
         node.terminate();
     });
     return QCoreApplication::exec();
@@ -50,7 +83,9 @@
     std::string path;
     bool only_check = false;
     try {
-        TCLAP::CmdLine line("Overload control for the target on this host. SIGTERM drains it.", ' ', "0.1.0");
+        TCLAP::CmdLine line("Overload control for the target on this host. SIGTERM drains it, SIGHUP reads "
+                            "the settings again.",
+                            ' ', "0.1.0");
         TCLAP::ValueArg<std::string> settings_file("s", "settings", "The node's settings, a TOML file.", true,
                                                    "", "FILE", line);
         TCLAP::SwitchArg check("c", "check", "Check the settings and exit.", line);
@@ -68,6 +103,7 @@
     action.sa_handler = on_signal;
     sigaction(SIGTERM, &action, nullptr);
     sigaction(SIGINT, &action, nullptr);
+    sigaction(SIGHUP, &action, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     // A heap for each of some twenty threads would keep what a burst once needed, twenty times over.
     ::mallopt(M_ARENA_MAX, max_heaps);
@@ -79,7 +115,7 @@
                 std::cout << path << ": ok\n";
                 return 0;
             }
-            return serve(read, application);
+            return serve(read, path, application);
         },
         [](problem const& cause) { return report(cause); });
 }
--- a/tests/standins/target_standin.cpp
+++ b/tests/standins/target_standin.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.hpp"
 #include "http/header_rules.hpp"
+#include "http/http_dialect.hpp"
 
 #include <chrono>
 #include <cmath>
@@ -56,7 +57,7 @@
     ++this->run_total;
     auto const ticket = field(request, header::idempotency_key);
     std::lock_guard const guard(this->mutex);
-    ++this->run_counts[ticket.empty() ? field(request, header::request_id) : ticket];
+    ++this->run_counts[ticket.empty() ? field(request, http_dialect{}.request_id) : ticket];
     if (this->headers.size() < max_kept_headers) {
         for (auto const& entry : request) {
             this->headers += std::string(entry.name_string()) + ": " + std::string(entry.value()) + "\n";
@@ -172,7 +173,7 @@
     this->give_slot();
     auto const size = static_cast<std::size_t>(query_value(target, "size", 0));
     auto body = size > 0 ? std::string(size, 'x')
-                         : this->behaviour.service + " " + field(request, header::request_id);
+                         : this->behaviour.service + " " + field(request, http_dialect{}.request_id);
     co_return make_response(whole ? 200 : 502, std::move(body));
 }
 
