--- a/libraries/config/schema.cpp
+++ b/libraries/config/schema.cpp
@@ -77,6 +77,8 @@
      "Longest time from the order to leave until the process ends."},
     {"control", "call_context", text, 1, max_name, false, "",
      "How the own target's calls are matched with what it serves: token or deadline."},
+    {"control", "rate_shards", number, 1, 16, false, "pools",
+     "Pools into which a failure domain's part of each rate is split; the same on all nodes."},
     {"control", "mode", text, 1, max_name, false, "", "full, or for experiments: off, per_host."},
     {"telemetry", "log_level", text, 1, max_name, false, "", "trace, debug, info, warn or error."},
     {"telemetry", "span_file_descriptor", number, 0, 1023, false, "",
--- a/libraries/config/settings.cpp
+++ b/libraries/config/settings.cpp
@@ -153,6 +153,8 @@
     read.idle_timeout_ms = reader.get_or<double>("limits", "idle_timeout_ms", read.idle_timeout_ms);
     read.max_pipeline = bound("max_pipeline", read.max_pipeline);
     read.drain_ms = reader.get_or<double>("limits", "drain_ms", read.drain_ms);
+    read.rate_shards = static_cast<std::uint8_t>(
+        reader.get_or<double>("control", "rate_shards", static_cast<double>(read.rate_shards)));
     BOOST_LEAF_AUTO(calls,
                     choose(call_context_names, reader.get_or<std::string>("control", "call_context", "token"),
                            "control.call_context"));
--- a/libraries/config/settings.hpp
+++ b/libraries/config/settings.hpp
@@ -61,12 +61,15 @@
     std::size_t max_requests{8192};
     double idle_timeout_ms{30'000};
     std::size_t max_pipeline{1};
-    double drain_ms{60'000}; ///< The longest time from the order to leave until the process ends.
+    double drain_ms{60'000};     ///< The longest time from the order to leave until the process ends.
+    std::uint8_t rate_shards{4}; ///< Pools into which a failure domain's part of each rate is split.
     call_context calls{call_context::token};
     control_mode mode{control_mode::full};
     std::string log_level{"info"};
     int span_file_descriptor{-1}; ///< -1 when spans are not written.
     std::string span_url;
+
+    bool wants_spans() const { return this->span_file_descriptor >= 0 || !this->span_url.empty(); }
 };
 
 /// Reads and checks a settings file; `path` is named in problems.
--- a/libraries/http/door.cpp
+++ b/libraries/http/door.cpp
@@ -24,15 +24,23 @@
 } // namespace
 
 door::door(door_settings wanted, door_events handlers)
-    : options(std::move(wanted)), events(std::move(handlers)), context(1), acceptor(context),
-      sweep_timer(context), answers(2 * options.max_connections + least_answers) {
+    : door(std::move(wanted), std::move(handlers), std::make_unique<service_loop>()) {}
+
+door::door(door_settings wanted, door_events handlers, std::unique_ptr<service_loop> own)
+    : door(std::move(wanted), std::move(handlers), *own) {
+    this->own_loop = std::move(own);
+}
+
+door::door(door_settings wanted, door_events handlers, service_loop& shared)
+    : options(std::move(wanted)), events(std::move(handlers)), context(shared.context()),
+      acceptor(this->context), sweep_timer(this->context),
+      answers(2 * options.max_connections + least_answers) {
     this->answers.set_wake([this] { asio::post(this->context, [this] { this->deliver_answers(); }); });
 }
 
 door::~door() {
-    this->context.stop();
-    if (this->worker.joinable()) {
-        this->worker.join();
+    if (this->own_loop != nullptr) {
+        this->own_loop->stop();
     }
 }
 
@@ -54,7 +62,9 @@
     }
     this->accept();
     this->schedule_sweep();
-    this->worker = std::thread([this] { this->context.run(); });
+    if (this->own_loop != nullptr) {
+        this->own_loop->start();
+    }
     return {};
 }
 
@@ -63,7 +73,7 @@
         if (error == asio::error::operation_aborted || !this->acceptor.is_open()) {
             return;
         }
-        if (!error && this->open_connections < this->options.max_connections) {
+        if (!error && *this->open_connections < this->options.max_connections) {
             auto const session = std::make_shared<door_session>(*this, std::move(socket));
             this->sessions.push_back(session);
             session->read();
--- a/libraries/http/door.hpp
+++ b/libraries/http/door.hpp
@@ -1,7 +1,7 @@
 /// The HTTP/1.1 server that callers, and the own target for its calls, connect to. By Boost.Beast.
 ///
-/// It runs on a thread of its own. Pipelined requests of a connection, up to a bound, are worked on together
-/// and answered in order. A caller's key leaves this class only as its hash.
+/// It runs on a loop of its own or on one that it shares. Pipelined requests of a connection, up to a bound,
+/// are worked on together and answered in order. A caller's key leaves this class only as its hash.
 #pragma once
 
 #include "base/bounded_ring.hpp"
@@ -9,9 +9,9 @@
 #include "base/header_field.hpp"
 #include "base/problem.hpp"
 #include "base/result_code.hpp"
+#include "base/service_loop.hpp"
 #include "http/http_dialect.hpp"
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -20,7 +20,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <thread>
 #include <unordered_map>
 #include <vector>
 
@@ -89,6 +88,8 @@
 class door {
 public:
     door(door_settings wanted, door_events handlers);
+    /// Runs on `shared`, which must have stopped before the door is destroyed.
+    door(door_settings wanted, door_events handlers, service_loop& shared);
     ~door();
     door(door const&) = delete;
     door& operator=(door const&) = delete;
@@ -103,12 +104,14 @@
     /// Takes no new connection, and closes those that wait for no answer; the last step after `drain`.
     void close_idle();
 
-    std::size_t connection_count() const { return this->open_connections; }
+    std::size_t connection_count() const { return *this->open_connections; }
     std::uint64_t refused_count() const { return this->refused; }
 
 private:
     friend class door_session;
 
+    door(door_settings wanted, door_events handlers, std::unique_ptr<service_loop> own);
+
     void accept();
     void deliver_answers();
     void sweep();
@@ -116,17 +119,18 @@
 
     door_settings options;
     door_events events;
-    boost::asio::io_context context;
+    std::unique_ptr<service_loop> own_loop; ///< Null when the loop is shared.
+    boost::asio::io_context& context;
     boost::asio::ip::tcp::acceptor acceptor;
     boost::asio::steady_timer sweep_timer;
     bounded_ring<door_answer> answers;
     std::unordered_map<std::uint64_t, std::shared_ptr<door_session>> waiting; ///< By request.
     std::vector<std::weak_ptr<door_session>> sessions;
-    std::atomic<std::size_t> open_connections{0};
+    /// Shared with the sessions, which a shared loop may keep for longer than the door lives.
+    std::shared_ptr<std::atomic<std::size_t>> open_connections{std::make_shared<std::atomic<std::size_t>>(0)};
     std::atomic<std::uint64_t> refused{0};
     std::atomic<bool> draining{false};
     std::uint64_t next_id{1};
-    std::thread worker;
 };
 
 } // namespace caraway
--- a/libraries/http/door_session.cpp
+++ b/libraries/http/door_session.cpp
@@ -90,14 +90,15 @@
 } // namespace
 
 door_session::door_session(door& owner, boost::asio::ip::tcp::socket socket)
-    : server(owner), stream(std::move(socket)), active(monotonic_clock::now()) {
-    ++this->server.open_connections;
+    : server(owner), open_connections(owner.open_connections), stream(std::move(socket)),
+      active(monotonic_clock::now()) {
+    ++*this->open_connections;
     boost::system::error_code ignored;
     this->stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
 }
 
 door_session::~door_session() {
-    --this->server.open_connections;
+    --*this->open_connections;
 }
 
 void door_session::read() {
--- a/libraries/http/door_session.hpp
+++ b/libraries/http/door_session.hpp
@@ -52,7 +52,8 @@
     /// Ends the sending half and reads away what still comes, so that the last answer is not lost to a reset.
     void linger();
 
-    door& server;
+    door& server; ///< Not touched once the loop has stopped.
+    std::shared_ptr<std::atomic<std::size_t>> open_connections;
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     std::optional<parser_type> parser;
--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -284,20 +284,31 @@
 };
 
 target_client::target_client(target_client_settings wanted, std::function<void(target_answer&&)> answer_sink)
-    : options(std::move(wanted)), sink(std::move(answer_sink)), context(1), guard(context.get_executor()),
+    : target_client(std::move(wanted), std::move(answer_sink), std::make_unique<service_loop>()) {}
+
+target_client::target_client(target_client_settings wanted, std::function<void(target_answer&&)> answer_sink,
+                             std::unique_ptr<service_loop> own)
+    : target_client(std::move(wanted), std::move(answer_sink), *own) {
+    this->own_loop = std::move(own);
+}
+
+target_client::target_client(target_client_settings wanted, std::function<void(target_answer&&)> answer_sink,
+                             service_loop& shared)
+    : options(std::move(wanted)), sink(std::move(answer_sink)), context(shared.context()),
       commands(options.max_requests) {
     this->commands.set_wake([this] { asio::post(this->context, [this] { this->run_commands(); }); });
 }
 
 target_client::~target_client() {
-    this->context.stop();
-    if (this->worker.joinable()) {
-        this->worker.join();
+    if (this->own_loop != nullptr) {
+        this->own_loop->stop();
     }
 }
 
 void target_client::start() {
-    this->worker = std::thread([this] { this->context.run(); });
+    if (this->own_loop != nullptr) {
+        this->own_loop->start();
+    }
 }
 
 bool target_client::send(target_request&& request) {
--- a/libraries/http/target_client.hpp
+++ b/libraries/http/target_client.hpp
@@ -1,23 +1,21 @@
 /// The HTTP/1.1 client of the own target: it sends every request exactly once. By Boost.Beast.
 ///
-/// It runs on a thread of its own and keeps connections for reuse. It never sends a request again by itself,
-/// and tells apart what was surely not run, what surely ran, and what may have run.
+/// It runs on a loop of its own or on one that it shares, and keeps connections for reuse. It never sends a
+/// request again by itself, and tells apart what was surely not run, what surely ran, and what may have run.
 #pragma once
 
 #include "base/bounded_ring.hpp"
 #include "base/header_field.hpp"
 #include "base/result_code.hpp"
+#include "base/service_loop.hpp"
 #include "http/http_dialect.hpp"
 
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include <atomic>
 #include <functional>
 #include <memory>
 #include <string>
-#include <thread>
 #include <unordered_map>
 #include <vector>
 
@@ -66,8 +64,11 @@
 
 class target_client {
 public:
-    /// `sink` is called on the client's thread with exactly one answer for each request.
+    /// `sink` is called on the client's loop with exactly one answer for each request.
     target_client(target_client_settings wanted, std::function<void(target_answer&&)> sink);
+    /// Runs on `shared`, which must have stopped before the client is destroyed.
+    target_client(target_client_settings wanted, std::function<void(target_answer&&)> sink,
+                  service_loop& shared);
     ~target_client();
     target_client(target_client const&) = delete;
     target_client& operator=(target_client const&) = delete;
@@ -83,6 +84,9 @@
 private:
     friend class target_call;
 
+    target_client(target_client_settings wanted, std::function<void(target_answer&&)> sink,
+                  std::unique_ptr<service_loop> own);
+
     struct command {
         bool cancels{false};
         target_request request;
@@ -97,12 +101,11 @@
 
     target_client_settings options;
     std::function<void(target_answer&&)> sink;
-    boost::asio::io_context context;
-    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard;
+    std::unique_ptr<service_loop> own_loop; ///< Null when the loop is shared.
+    boost::asio::io_context& context;
     bounded_ring<command> commands;
     std::unordered_map<std::uint64_t, std::weak_ptr<target_call>> calls;
     std::vector<std::unique_ptr<target_connection>> idle;
-    std::thread worker;
 };
 
 } // namespace caraway
--- a/libraries/membership/rate_authority.cpp
+++ b/libraries/membership/rate_authority.cpp
@@ -28,9 +28,9 @@
 } // namespace
 
 rate_authority::rate_authority(std::string own_host, std::string own_domain, std::uint64_t own_incarnation,
-                               rights_timing limits, time_point started)
+                               rights_timing limits, time_point started, std::uint8_t pool_shards)
     : host(own_host), domain(std::move(own_domain)), incarnation(own_incarnation), timing(limits),
-      membership(std::move(own_host), limits, started) {}
+      shards(pool_shards), membership(std::move(own_host), limits, started) {}
 
 void rate_authority::configure(std::unordered_map<std::string, rate_terms> own_terms, time_point now) {
     this->terms = std::move(own_terms);
@@ -39,7 +39,7 @@
     std::erase_if(this->borrowers, [this](auto const& entry) { return !this->terms.contains(entry.first); });
     for (auto& [subject, pool] : this->pools) {
         auto const& term = this->terms.at(pool.organisation);
-        pool.pool.set_terms(term.rate / shards_per_organisation, term.burst / shards_per_organisation, now);
+        pool.pool.set_terms(term.rate / this->shards, term.burst / this->shards, now);
     }
 }
 
@@ -164,8 +164,8 @@
     }
     auto order = entry->second;
     // The own domain's pools are asked first, beginning with another one each round.
-    for (std::uint8_t index = 0; index < shards_per_organisation; ++index) {
-        auto const shard = static_cast<std::uint8_t>((round + index) % shards_per_organisation);
+    for (std::uint8_t index = 0; index < this->shards; ++index) {
+        auto const shard = static_cast<std::uint8_t>((round + index) % this->shards);
         order.push_back({this->membership.owner(subject_of(organisation, shard)), shard});
     }
     std::erase_if(order, [this, now](lender_address const& lender) {
@@ -183,7 +183,7 @@
             continue;
         }
         std::vector<std::string> const candidates(listed.begin(), listed.end());
-        for (std::uint8_t shard = 0; shard < shards_per_organisation; ++shard) {
+        for (std::uint8_t shard = 0; shard < this->shards; ++shard) {
             for (auto const& name_of_host : rendezvous_top(candidates, subject_of(organisation, shard), 1)) {
                 order.push_back({name_of_host, shard, true});
             }
@@ -245,7 +245,7 @@
     auto const subject = subject_of(organisation, shard);
     auto const term = this->terms.find(organisation);
     bool const owned =
-        shard < shards_per_organisation && term != this->terms.end() && this->membership.owns(subject, now);
+        shard < this->shards && term != this->terms.end() && this->membership.owns(subject, now);
     if (!owned) {
         return nullptr;
     }
@@ -257,8 +257,7 @@
     // A new term of ownership: what a former one held is void, and the pool counts as minting since this one
     // began, not since the first request.
     owned_pool fresh{organisation, usable_from, rate_pool(usable_from)};
-    fresh.pool.set_terms(term->second.rate / shards_per_organisation,
-                         term->second.burst / shards_per_organisation, usable_from);
+    fresh.pool.set_terms(term->second.rate / this->shards, term->second.burst / this->shards, usable_from);
     return &this->pools.insert_or_assign(subject, std::move(fresh)).first->second.pool;
 }
 
--- a/libraries/membership/rate_authority.hpp
+++ b/libraries/membership/rate_authority.hpp
@@ -27,13 +27,14 @@
 using domain_hosts = std::map<std::string, std::set<std::string>>;
 
 /// Each domain's part of an organisation's terms is split over this many pools with owners of their own, so
-/// that the death of one host takes only some of it.
+/// that the death of one host takes only some of it. All nodes of a fleet must agree on the number.
 inline constexpr std::uint8_t shards_per_organisation = 4;
 
 class rate_authority {
 public:
     rate_authority(std::string own_host, std::string own_domain, std::uint64_t own_incarnation,
-                   rights_timing limits, time_point started);
+                   rights_timing limits, time_point started,
+                   std::uint8_t pool_shards = shards_per_organisation);
 
     /// Replaces all terms. A domain weight that shrinks shrinks pools at once.
     void configure(std::unordered_map<std::string, rate_terms> own_terms, time_point now);
@@ -120,6 +121,7 @@
     std::string domain;
     std::uint64_t incarnation;
     rights_timing timing;
+    std::uint8_t shards; ///< Pools of an organisation in each domain.
     counted_members membership;
     domain_hosts hosts;
     std::unordered_map<std::string, rate_terms> terms;
--- a/libraries/node/core_thread.cpp
+++ b/libraries/node/core_thread.cpp
@@ -1,5 +1,7 @@
 #include "node/core_thread.hpp"
 
+#include <boost/asio/post.hpp>
+
 #include <chrono>
 
 namespace caraway {
@@ -7,10 +9,11 @@
 namespace {
 
 constexpr std::size_t ring_capacity = 65'536;
-/// How late a deadline or an age limit may be noticed.
-constexpr auto busy_wait = std::chrono::milliseconds(2);
-constexpr auto idle_wait = std::chrono::milliseconds(10);
-constexpr duration tick_interval{2};
+/// How late a deadline or an age limit may be noticed while requests are live. The shortest of them is 150
+/// ms.
+constexpr auto busy_tick = std::chrono::milliseconds(4);
+/// The same while nothing is live: gossip and rights are due every ten milliseconds or more.
+constexpr auto idle_tick = std::chrono::milliseconds(10);
 constexpr duration publish_interval{250};
 
 } // namespace
@@ -18,14 +21,10 @@
 core_thread::core_thread(settings wanted, bool platform_is_current, std::uint64_t incarnation,
                          std::function<void(effects&&)> handler)
     : core(std::move(wanted), platform_is_current, incarnation, {}, monotonic_clock::now()),
-      carry_out(std::move(handler)), events(ring_capacity), published(std::make_shared<node_status const>()) {
-    this->events.set_wake([this] {
-        {
-            std::lock_guard const guard(this->mutex);
-            this->pending = true;
-        }
-        this->woken.notify_one();
-    });
+      carry_out(std::move(handler)), events(ring_capacity), published(std::make_shared<node_status const>()),
+      ticks(events_loop.context()) {
+    this->events.set_wake(
+        [this] { boost::asio::post(this->events_loop.context(), [this] { this->drain_events(); }); });
 }
 
 core_thread::~core_thread() {
@@ -33,47 +32,47 @@
 }
 
 void core_thread::start() {
-    this->worker = std::thread([this] { this->run(); });
+    this->schedule_tick();
+    this->events_loop.start();
 }
 
 void core_thread::stop() {
-    this->stopping = true;
-    this->woken.notify_one();
-    if (this->worker.joinable()) {
-        this->worker.join();
-    }
+    this->events_loop.stop();
 }
 
 bool core_thread::push(core_event&& event) {
     return this->events.try_push(std::make_unique<core_event>(std::move(event)));
 }
 
-void core_thread::wait() {
-    std::unique_lock lock(this->mutex);
-    this->woken.wait_for(lock, this->idle ? idle_wait : busy_wait,
-                         [this] { return this->pending || this->stopping; });
-    this->pending = false;
+void core_thread::schedule_tick() {
+    this->ticks.expires_after(this->idle ? idle_tick : busy_tick);
+    this->ticks.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            this->tick();
+            this->schedule_tick();
+        }
+    });
 }
 
-void core_thread::run() {
-    time_point next_tick;
-    time_point next_publish;
-    while (!this->stopping) {
-        this->wait();
-        this->events.drain([this](std::unique_ptr<core_event>&& event) {
-            this->core.handle(std::move(*event), monotonic_clock::now());
-        });
-        auto const now = monotonic_clock::now();
-        if (now >= next_tick) {
-            next_tick = now + tick_interval;
-            this->core.tick(now);
-        }
-        this->carry_out(this->core.take_effects());
-        this->idle = this->core.is_idle();
-        if (now >= next_publish) {
-            next_publish = now + publish_interval;
-            std::atomic_store(&this->published, std::shared_ptr<node_status const>(this->core.status(now)));
-        }
+void core_thread::drain_events() {
+    this->events.drain([this](std::unique_ptr<core_event>&& event) {
+        this->core.handle(std::move(*event), monotonic_clock::now());
+    });
+    this->carry_out_all(monotonic_clock::now());
+}
+
+void core_thread::tick() {
+    auto const now = monotonic_clock::now();
+    this->core.tick(now);
+    this->carry_out_all(now);
+}
+
+void core_thread::carry_out_all(time_point now) {
+    this->carry_out(this->core.take_effects());
+    this->idle = this->core.is_idle();
+    if (now >= this->next_publish) {
+        this->next_publish = now + publish_interval;
+        std::atomic_store(&this->published, std::shared_ptr<node_status const>(this->core.status(now)));
     }
 }
 
--- a/libraries/node/core_thread.hpp
+++ b/libraries/node/core_thread.hpp
@@ -1,15 +1,17 @@
-/// The thread of the deciding duty: drains the ring of events, keeps time, and hands out the effects.
+/// The thread of the deciding duty: drains the ring of events, keeps time, and hands out the effects. Doors
+/// and target client may run on its loop, so that a request passes through this node's duties without waking
+/// a thread.
 #pragma once
 
 #include "base/bounded_ring.hpp"
+#include "base/service_loop.hpp"
 #include "node/node_core.hpp"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <atomic>
-#include <condition_variable>
 #include <functional>
 #include <memory>
-#include <mutex>
-#include <thread>
 
 namespace caraway {
 
@@ -24,6 +26,7 @@
 
     void start();
     void stop();
+    service_loop& loop() { return this->events_loop; }
 
     /// Thread-safe; false when the ring is full.
     bool push(core_event&& event);
@@ -32,20 +35,21 @@
     bool is_idle() const { return this->idle; }
 
 private:
-    void run();
-    void wait();
+    void drain_events();
+    /// Time passes: deadlines, age limits, what is periodic.
+    void tick();
+    void schedule_tick();
+    void carry_out_all(time_point now);
 
     node_core core;
     std::function<void(effects&&)> carry_out;
     /// Of pointers: a ring of whole events would keep many megabytes once it has gone round.
     bounded_ring<std::unique_ptr<core_event>> events;
-    std::mutex mutex;
-    std::condition_variable woken;
-    bool pending{false};
-    std::atomic<bool> stopping{false};
     std::atomic<bool> idle{true};
     std::shared_ptr<node_status const> published;
-    std::thread worker;
+    time_point next_publish;
+    service_loop events_loop;
+    boost::asio::steady_timer ticks;
 };
 
 } // namespace caraway
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -101,7 +101,7 @@
     if (!work.request.ticket.empty() && !this->claim_ticket(work, now)) {
         return;
     }
-    if (this->context.phase != node_phase::serving) {
+    if (this->context.phase != node_phase::serving || this->context.target_is_leaving) {
         return this->refuse_unqueued(work, result_code::leaving, outcome::not_run, now);
     }
     if (this->executions.size() >= this->context.options.max_requests) {
@@ -205,9 +205,11 @@
     work.stage = execution::state::running;
     work.started = now;
     work.started_wall = wall_clock_nanoseconds();
-    work.token = to_hex(random_bytes(token_bytes));
+    if (this->context.options.calls == call_context::token) {
+        work.token = to_hex(random_bytes(token_bytes));
+        this->by_token[work.token] = work.id;
+    }
     work.span_id = trace_context::new_span_id();
-    this->by_token[work.token] = work.id;
     ++this->running;
     this->context.numbers.observe(timing::queue, now - work.arrived);
     auto const left = work.deadline - now;
@@ -302,6 +304,22 @@
     }
 }
 
+span executor::make_span(execution const& work, answer_message const& answer) const {
+    span hop{.trace_id = work.request.trace_id,
+             .span_id = work.span_id,
+             .parent_id = work.request.parent_span,
+             .name = "execute " + work.request.route,
+             .kind = span_kind::server,
+             .start_nanoseconds = work.started_wall,
+             .end_nanoseconds = wall_clock_nanoseconds(),
+             .failed = answer.result != outcome::ran};
+    hop.attributes = {{"caraway.request_id", work.request.request_id},
+                      {"caraway.outcome", std::string(name_of(answer.result))},
+                      {"caraway.code", std::string(describe(answer.code).name)},
+                      {"caraway.failure_domain", this->context.options.failure_domain}};
+    return hop;
+}
+
 void executor::finish(execution& work, answer_message answer, time_point now) {
     if (work.right) {
         this->tickets.finish(*work.right, {answer});
@@ -310,19 +328,9 @@
         --this->running;
         this->running_suspect = this->running_suspect == work.id ? 0 : this->running_suspect;
         this->by_token.erase(work.token);
-        span hop{.trace_id = work.request.trace_id,
-                 .span_id = work.span_id,
-                 .parent_id = work.request.parent_span,
-                 .name = "execute " + work.request.route,
-                 .kind = span_kind::server,
-                 .start_nanoseconds = work.started_wall,
-                 .end_nanoseconds = wall_clock_nanoseconds(),
-                 .failed = answer.result != outcome::ran};
-        hop.attributes = {{"caraway.request_id", work.request.request_id},
-                          {"caraway.outcome", std::string(name_of(answer.result))},
-                          {"caraway.code", std::string(describe(answer.code).name)},
-                          {"caraway.failure_domain", this->context.options.failure_domain}};
-        this->context.out.spans.push_back(std::move(hop));
+        if (this->context.options.wants_spans()) {
+            this->context.out.spans.push_back(this->make_span(work, answer));
+        }
     }
     this->orphan_children(work);
     this->send_answer(work, std::move(answer), now);
--- a/libraries/node/executor.hpp
+++ b/libraries/node/executor.hpp
@@ -110,6 +110,7 @@
     void send_answer(execution const& work, answer_message answer, time_point now);
     void note_death(std::uint64_t dead, time_point now);
     void orphan_children(execution& work);
+    span make_span(execution const& work, answer_message const& answer) const;
     std::vector<admission_report> reports(execution const& work) const;
     double weight_of(std::string const& organisation) const;
     void admit_next_suspect(time_point now);
--- a/libraries/node/node_context.hpp
+++ b/libraries/node/node_context.hpp
@@ -27,11 +27,16 @@
     message content;
 };
 
+/// The part of the drain during which a leaving node still takes requests: callers that were not told yet
+/// come for two seconds, and the longest request that is served then has as much time again.
+inline constexpr double draining_admission_part = 0.4;
+
 struct node_context {
     node_context(settings wanted, std::uint64_t own_incarnation, rights_timing limits, time_point started)
         : options(std::move(wanted)), incarnation(own_incarnation),
           peers(options.host, options.failure_domain, out),
-          rights(options.host, options.failure_domain, own_incarnation, limits, started) {}
+          rights(options.host, options.failure_domain, own_incarnation, limits, started,
+                 options.rate_shards) {}
 
     /// Sends to a host; a message to this host itself is handled in the same round. False when there is no
     /// link.
@@ -44,11 +49,19 @@
         return this->peers.send(host, std::move(content), now, preferred, used);
     }
 
+    /// Whether the node is leaving and what it took on now could no longer be answered in time.
+    bool is_past_admission(time_point now) const {
+        bool const leaves = this->phase == node_phase::draining || this->phase == node_phase::stopped;
+        return leaves &&
+               now - this->draining_since >= duration{this->options.drain_ms} * draining_admission_part;
+    }
+
     bool is_controlled() const { return this->options.mode == control_mode::full; }
 
     settings options;
     std::uint64_t incarnation;
     node_phase phase{node_phase::starting};
+    time_point draining_since;
     configuration_pointer configuration;
     std::string own_instance;      ///< The start of the own target that the host list names.
     bool target_is_leaving{false}; ///< The host list says that the own target takes no new work.
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -104,6 +104,7 @@
 
 void node_core::on_message(addressed_message&& received, time_point now) {
     auto const& from = received.from;
+    this->context.peers.on_heard(from, received.connection, now);
     std::visit(
         overloaded_handlers{
             [&](forward_message& request) {
@@ -205,7 +206,8 @@
     auto const own = std::ranges::find(this->hosts, this->context.options.host, &listed_host::host);
     bool const is_listed = own != this->hosts.end();
     this->context.own_instance = is_listed ? own->instance : "";
-    this->context.target_is_leaving = is_listed && own->leaving;
+    // A list that names others but not this host says that its target has left without a word.
+    this->context.target_is_leaving = is_listed ? own->leaving : !this->hosts.empty();
     this->local.set_listed_slots(is_listed ? own->slots : 0);
     this->configure_rights(now);
     this->context.out.log(
@@ -218,6 +220,7 @@
     if (phase != node_phase::draining) {
         return;
     }
+    this->context.draining_since = now;
     this->local.drain(now);
     this->context.rights.leave(now);
     for (auto const& host : this->context.peers.open_hosts()) {
--- a/libraries/node/node_runtime.cpp
+++ b/libraries/node/node_runtime.cpp
@@ -41,15 +41,17 @@
       links({options.host, incarnation}, options.fleet_secret,
             std::max(least_message, options.max_body + message_overhead),
             [this](link_event&& event) { return this->core.push(std::move(event)); }),
-      target({.address = options.target.address,
-              .port = options.target.port,
-              .max_body = options.max_body,
-              .max_header = options.max_header,
-              .max_requests = options.max_requests,
-              .dialect = binding.dialect},
-             [this](target_answer&& answer) {
-                 [[maybe_unused]] bool const taken = this->core.push(std::move(answer));
-             }) {
+      target(
+          {.address = options.target.address,
+           .port = options.target.port,
+           .max_body = options.max_body,
+           .max_header = options.max_header,
+           .max_requests = options.max_requests,
+           .dialect = binding.dialect},
+          [this](target_answer&& answer) {
+              [[maybe_unused]] bool const taken = this->core.push(std::move(answer));
+          },
+          core.loop()) {
     this->compiles.set_wake([this] {
         QMetaObject::invokeMethod(
             &this->control, [this] { this->compile_waiting(); }, Qt::QueuedConnection);
@@ -58,9 +60,9 @@
 
 node_runtime::~node_runtime() {
     this->platform.reset();
+    this->core.stop();
     this->callers.reset();
     this->egress.reset();
-    this->core.stop();
 }
 
 door_events node_runtime::make_door_events(door_side side) {
@@ -82,7 +84,7 @@
                                                 .idle_timeout_ms = this->options.idle_timeout_ms,
                                                 .max_pipeline = this->options.max_pipeline,
                                                 .dialect = this->binding.dialect},
-                                  this->make_door_events(side));
+                                  this->make_door_events(side), this->core.loop());
 }
 
 result<void> node_runtime::start() {
--- a/libraries/node/originator.cpp
+++ b/libraries/node/originator.cpp
@@ -180,6 +180,9 @@
 
 void originator::begin_root(door_request&& request, route const& matched, std::string const& organisation,
                             time_point now) {
+    if (this->context.is_past_admission(now)) {
+        return this->reject(request, result_code::leaving, now);
+    }
     auto const trace = trace_context::from_header(request.traceparent);
     auto const ticket_text = request.idempotency_key;
     auto call = this->make_call(std::move(request), matched, now);
@@ -632,7 +635,9 @@
 void originator::finish(origin_call& call, answer_message&& answer, time_point now) {
     this->context.numbers.count_answer(answer.result, answer.code);
     this->context.numbers.observe(timing::request, now - call.arrived);
-    this->context.out.spans.push_back(make_span(call, answer));
+    if (this->context.options.wants_spans()) {
+        this->context.out.spans.push_back(make_span(call, answer));
+    }
     auto reply = this->make_reply(call, std::move(answer), now);
     if (!call.caller_gone) {
         this->answer_door(call.side, std::move(reply));
--- a/libraries/node/peer_table.cpp
+++ b/libraries/node/peer_table.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-constexpr duration active_ping_interval{200};
+/// A link on which something was sent and nothing came since is pinged after this span.
+constexpr duration unanswered_ping_interval{200};
 constexpr duration idle_ping_interval{1000};
-constexpr duration active_span{2000};
 /// A ping unanswered this long gets a fresh connection tried beside the old one.
 constexpr duration suspect_after{400};
 /// A ping unanswered this long ends the connection.
@@ -125,6 +125,18 @@
     return name;
 }
 
+void peer_table::on_heard(std::string const& name, connection_id connection, time_point now) {
+    auto const peer = this->peers.find(name);
+    if (peer == this->peers.end()) {
+        return;
+    }
+    for (auto& link : peer->second.dialled) {
+        if (link.connection == connection) {
+            link.received = now;
+        }
+    }
+}
+
 void peer_table::on_ping(std::string const& name, connection_id connection, ping_message const& ping_content,
                          host_report const& own_report, time_point now) {
     this->on_report(name, ping_content.report, now);
@@ -184,7 +196,6 @@
                             time_point now, std::vector<connection_id>& silent) {
     bool healthy = false;
     bool opening = false;
-    auto const interval = now - peer.last_used < active_span ? active_ping_interval : idle_ping_interval;
     for (auto& link : peer.dialled) {
         if (!link.open) {
             bool const too_long = now - link.dialled >= open_timeout;
@@ -200,7 +211,9 @@
             continue;
         }
         healthy = healthy || !waiting || now - link.pinged < suspect_after;
-        bool const due = !waiting && now - link.last_ping >= interval;
+        bool const is_unanswered = link.last_sent > link.received;
+        auto const interval = is_unanswered ? unanswered_ping_interval : idle_ping_interval;
+        bool const due = !waiting && now - std::max(link.last_ping, link.received) >= interval;
         if (due) {
             this->ping(link, own_report, now);
         }
@@ -255,7 +268,11 @@
         this->want(name, now);
         return false;
     }
-    peer.last_used = now;
+    for (auto& link : peer.dialled) {
+        if (link.connection == connection) {
+            link.last_sent = now;
+        }
+    }
     this->out.messages.push_back({connection, std::move(content)});
     if (used != nullptr) {
         *used = connection;
--- a/libraries/node/peer_table.hpp
+++ b/libraries/node/peer_table.hpp
@@ -39,6 +39,8 @@
     /// Gives the host whose connection it was.
     std::optional<std::string> on_closed(connection_id connection);
 
+    /// A message came on the connection: it is alive.
+    void on_heard(std::string const& host, connection_id connection, time_point now);
     void on_ping(std::string const& host, connection_id connection, ping_message const& ping,
                  host_report const& own_report, time_point now);
     void on_pong(std::string const& host, connection_id connection, pong_message const& pong, time_point now);
@@ -73,6 +75,8 @@
         time_point pinged; ///< When the oldest unanswered ping was sent; 0 when none is.
         std::uint64_t sequence{0};
         time_point last_ping;
+        time_point received;  ///< When any message last came on it.
+        time_point last_sent; ///< When a message that is no ping was last sent on it.
     };
     struct peer_state {
         peer_info info;
@@ -81,7 +85,6 @@
         time_point wanted_until;
         time_point next_dial;
         duration dial_pause{0};
-        time_point last_used;
     };
 
     void dial(std::string const& host, peer_state& peer, time_point now);
