--- /dev/null
+++ b/tests/http/dialect_test.cpp
@@ -0,0 +1,305 @@
+/// What doors and the target client do under a dialect in which statuses promise and answers bear an
+/// integrity field.
+
+#include "http/door.hpp"
+#include "http/target_client.hpp"
+#include "standins/test_client.hpp"
+
+#include <boost/asio.hpp>
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+using namespace caraway;
+using caraway::standins::client_answer;
+using caraway::standins::test_client;
+namespace asio = boost::asio;
+
+namespace {
+
+http_dialect strict_dialect() {
+    return {.request_id = "Id",
+            .timeout = "Time",
+            .key = "Pass",
+            .key_prefix = "",
+            .deadline = "Time",
+            .organisation = "Owner",
+            .calling_service = "From",
+            .instance = "Wanted",
+            .not_run = "Untouched",
+            .integrity = "Mark",
+            .checks_request_id = true,
+            .has_own_fields = false,
+            .keeps_authority = true,
+            .retry_after_has_fractions = true,
+            .statuses_promise = true};
+}
+
+std::uint16_t next_port() {
+    static std::uint16_t port = static_cast<std::uint16_t>(20'000 + ::getpid() % 2000);
+    return ++port;
+}
+
+std::string answer_text(std::string const& status, std::string const& headers, std::string const& body) {
+    return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+/// A target that answers the requests of each connection with the given bytes, one after another, and closes
+/// when there are none left.
+class scripted_target {
+public:
+    scripted_target(std::uint16_t port, std::vector<std::string> answers) : script(std::move(answers)) {
+        asio::ip::tcp::endpoint const place(asio::ip::make_address("127.0.0.1"), port);
+        this->acceptor.open(place.protocol());
+        this->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+        this->acceptor.bind(place);
+        this->acceptor.listen();
+        this->worker = std::thread([this] { this->run(); });
+    }
+    ~scripted_target() {
+        this->stopping = true;
+        asio::io_context own;
+        asio::ip::tcp::socket waker(own);
+        boost::system::error_code ignored;
+        waker.connect(this->acceptor.local_endpoint(), ignored);
+        this->worker.join();
+    }
+
+    std::atomic<int> arrivals{0};
+    std::atomic<int> connections{0};
+    std::string last_head; ///< Read after the answer came.
+
+private:
+    void run() {
+        while (!this->stopping) {
+            boost::system::error_code error;
+            asio::ip::tcp::socket socket(this->io);
+            this->acceptor.accept(socket, error);
+            if (this->stopping || error) {
+                return;
+            }
+            ++this->connections;
+            for (auto const& answer : this->script) {
+                std::string text;
+                asio::read_until(socket, asio::dynamic_buffer(text), "\r\n\r\n", error);
+                if (error) {
+                    break;
+                }
+                ++this->arrivals;
+                this->last_head = text;
+                asio::write(socket, asio::buffer(answer), error);
+            }
+        }
+    }
+
+    std::vector<std::string> script;
+    asio::io_context io;
+    asio::ip::tcp::acceptor acceptor{io};
+    std::atomic<bool> stopping{false};
+    std::thread worker;
+};
+
+class asking_client {
+public:
+    explicit asking_client(std::uint16_t port)
+        : client({.address = "127.0.0.1", .port = port, .dialect = strict_dialect()},
+                 [this](target_answer&& answer) {
+                     std::lock_guard const guard(this->mutex);
+                     this->answers.push_back(std::move(answer));
+                     this->changed.notify_all();
+                 }) {
+        this->client.start();
+    }
+    target_answer ask(std::string request_id) {
+        auto const id = ++this->last_id;
+        REQUIRE(this->client.send({.id = id,
+                                   .method = "GET",
+                                   .authority = "shop.example",
+                                   .path = "/a",
+                                   .headers = {{"Extra", "kept"}},
+                                   .timeout_ms = 3000,
+                                   .deadline_ms = 1234.7,
+                                   .request_id = std::move(request_id),
+                                   .context_token = "token",
+                                   .organisation = "org",
+                                   .calling_service = "front",
+                                   .instance = "i-1"}));
+        std::unique_lock lock(this->mutex);
+        REQUIRE(this->changed.wait_for(lock, std::chrono::seconds(10),
+                                       [&] { return this->answers.size() == id; }));
+        return this->answers.back();
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::vector<target_answer> answers;
+    std::uint64_t last_id{0};
+    target_client client;
+};
+
+/// Asks a target with this script once.
+target_answer answer_to(std::vector<std::string> script) {
+    auto const port = next_port();
+    scripted_target target(port, std::move(script));
+    asking_client client(port);
+    return client.ask("r1");
+}
+
+/// A door in front of a node that answers each request at once with `reply`.
+class answering_door {
+public:
+    explicit answering_door(door_answer wanted)
+        : port(next_port()), reply(std::move(wanted)),
+          served({.address = "127.0.0.1", .port = this->port, .dialect = strict_dialect()},
+                 {.request =
+                      [this](door_request&& request) {
+                          auto answer = this->reply;
+                          answer.id = request.id;
+                          this->seen = std::move(request);
+                          this->served.answer(std::move(answer));
+                          return true;
+                      },
+                  .hang_up = [](std::uint64_t) {}}) {
+        attempt_or(
+            [&]() -> result<bool> {
+                BOOST_LEAF_CHECK(this->served.open());
+                return true;
+            },
+            [](problem const& cause) -> bool {
+                FAIL(to_text(cause));
+                return false;
+            });
+    }
+
+    std::uint16_t port;
+    door_request seen;
+
+private:
+    door_answer reply;
+    door served;
+};
+
+client_answer answer_of(door_answer reply) {
+    answering_door entry(std::move(reply));
+    return standins::fetch("127.0.0.1", entry.port, "GET", "/a");
+}
+
+} // namespace
+
+TEST_CASE("the target gets what the dialect names, and nothing of the product's own") {
+    auto const port = next_port();
+    scripted_target target(port, {answer_text("200 OK", "Id: r1\r\nMark: m\r\n", "whole")});
+    asking_client client(port);
+    auto const answer = client.ask("r1");
+    CHECK(answer.result == outcome::ran);
+    CHECK(answer.body == "whole");
+    for (auto const* expected : {"Host: shop.example\r\n", "Id: r1\r\n", "Time: 1234\r\n", "Owner: org\r\n",
+                                 "From: front\r\n", "Wanted: i-1\r\n", "Extra: kept\r\n"}) {
+        INFO(expected);
+        CHECK(target.last_head.find(expected) != std::string::npos);
+    }
+    CHECK(target.last_head.find("token") == std::string::npos);
+}
+
+TEST_CASE("only the target's own statement, or another instance at its address, means that nothing was run") {
+    auto const refused = answer_to({answer_text("503 Full", "Id: r1\r\nUntouched: 1\r\n", "")});
+    CHECK(refused.result == outcome::not_run);
+    CHECK(refused.code == result_code::target_refused);
+    auto const replaced = answer_to({answer_text("421 Other", "Id: r1\r\n", "")});
+    CHECK(replaced.result == outcome::not_run);
+    CHECK(replaced.code == result_code::target_replaced);
+    for (auto const* status : {"503 Full", "429 Slow", "408 Late"}) {
+        INFO(status);
+        auto const silent = answer_to({answer_text(status, "Id: r1\r\nMark: m\r\n", "")});
+        CHECK(silent.result == outcome::unknown);
+        CHECK(silent.code == result_code::target_malformed);
+    }
+}
+
+TEST_CASE("an answer is passed on only if it is whole, marked, and bears the request's id") {
+    CHECK(answer_to({answer_text("200 OK", "Id: r1\r\n", "unmarked")}).result == outcome::unknown);
+    CHECK(answer_to({answer_text("200 OK", "Mark: m\r\n", "no id")}).result == outcome::unknown);
+    CHECK(answer_to({"HTTP/1.1 200 OK\r\nId: r1\r\nMark: m\r\nContent-Length: 100\r\n\r\ncut"}).result ==
+          outcome::unknown);
+    CHECK(answer_to({"no http at all\r\n\r\n"}).result == outcome::unknown);
+    auto const unframed = answer_to({"HTTP/1.1 200 OK\r\nId: r1\r\nMark: m\r\n\r\nuntil the end"});
+    CHECK(unframed.result == outcome::ran);
+    CHECK(unframed.body == "until the end");
+    auto const failed = answer_to({answer_text("500 Bad", "Id: r1\r\nMark: m\r\n", "own failure")});
+    CHECK(failed.result == outcome::ran);
+    CHECK(failed.status == 500);
+}
+
+TEST_CASE("a late answer to another request is read past, and its connection is not used again") {
+    auto const port = next_port();
+    auto const own = answer_text("200 OK", "Id: r1\r\nMark: m\r\n", "own");
+    auto const late = answer_text("200 OK", "Id: r0\r\nMark: m\r\n", "other's");
+    scripted_target target(port, {late + own, own});
+    asking_client client(port);
+    CHECK(client.ask("r1").body == "own");
+    CHECK(client.ask("r1").body == "own");
+    CHECK(target.connections == 2);
+}
+
+TEST_CASE("a connection with bytes after its answer is not used again") {
+    auto const port = next_port();
+    auto const own = answer_text("200 OK", "Id: r1\r\nMark: m\r\n", "own");
+    scripted_target target(port, {own + "HTTP/1.1 200 OK\r\n", own});
+    asking_client client(port);
+    CHECK(client.ask("r1").body == "own");
+    CHECK(client.ask("r1").body == "own");
+    CHECK(target.connections == 2);
+}
+
+TEST_CASE("a target that loses an answer and takes connections is not dead; one that refuses them is") {
+    auto const port = next_port();
+    target_answer alive;
+    {
+        scripted_target target(port, {""});
+        asking_client client(port);
+        alive = client.ask("r1");
+    }
+    CHECK(alive.code == result_code::target_crashed);
+    CHECK_FALSE(alive.refuses_connections);
+}
+
+TEST_CASE("a status that promises is only given to what has not run") {
+    door_answer reply{.status = 503, .body = "overloaded\n"};
+    reply.note =
+        answer_note{.result = outcome::not_run, .code = result_code::overloaded, .retry_after_ms = 350};
+    auto const refused = answer_of(reply);
+    CHECK(refused.status == 503);
+    CHECK(refused.header("Retry-After") == "0.35");
+    CHECK(refused.outcome().empty());
+    reply.note->result = outcome::unknown;
+    CHECK(answer_of(reply).status == 502);
+    reply.status = 504;
+    reply.note = answer_note{.result = outcome::not_run, .code = result_code::deadline_passed};
+    CHECK(answer_of(reply).status == 503);
+    reply.note->result = outcome::unknown;
+    CHECK(answer_of(reply).status == 504);
+}
+
+TEST_CASE("the door reads the dialect's fields and keeps the key to itself") {
+    answering_door entry({.status = 200, .body = "ok"});
+    standins::fetch("127.0.0.1", entry.port, "GET", "/a",
+                    {{"Id", "r9"},
+                     {"Time", "750"},
+                     {"Pass", "secret"},
+                     {"From", "forged"},
+                     {"Owner", "forged"},
+                     {"Extra", "kept"}});
+    CHECK(entry.seen.request_id == "r9");
+    CHECK(entry.seen.timeout_ms == 750);
+    CHECK(entry.seen.key_sha256.size() == 64);
+    REQUIRE(entry.seen.headers.size() == 1);
+    CHECK(entry.seen.headers.front() == header_field{"Extra", "kept"});
+}
--- /dev/null
+++ b/tests/http/pipeline_test.cpp
@@ -0,0 +1,122 @@
+/// Requests sent behind each other on one connection run together and are answered in order.
+
+#include "http/door.hpp"
+#include "standins/test_client.hpp"
+
+#include <doctest/doctest.h>
+
+#include <condition_variable>
+#include <mutex>
+#include <unistd.h>
+#include <vector>
+
+using namespace caraway;
+using caraway::standins::test_client;
+
+namespace {
+
+std::uint16_t next_port() {
+    static std::uint16_t port = static_cast<std::uint16_t>(23'000 + ::getpid() % 2000);
+    return ++port;
+}
+
+/// A door that works on four requests of a connection together and keeps them until the test answers.
+class wide_door {
+public:
+    wide_door()
+        : port(next_port()),
+          served({.address = "127.0.0.1", .port = this->port, .max_pipeline = 4},
+                 {.request = [this](door_request&& request) { return this->take(std::move(request)); },
+                  .hang_up = [this](std::uint64_t) { this->note_hang_up(); }}) {
+        attempt_or(
+            [&]() -> result<bool> {
+                BOOST_LEAF_CHECK(this->served.open());
+                return true;
+            },
+            [](problem const& cause) -> bool {
+                FAIL(to_text(cause));
+                return false;
+            });
+    }
+
+    bool wait_for(std::size_t requests, std::size_t hang_ups = 0) {
+        std::unique_lock lock(this->mutex);
+        return this->changed.wait_for(lock, std::chrono::seconds(10),
+                                      [&] { return this->ids.size() >= requests && this->gone >= hang_ups; });
+    }
+    void answer(std::size_t index, std::string body) {
+        this->served.answer({.id = this->ids.at(index), .status = 200, .body = std::move(body)});
+    }
+    void drain() { this->served.drain(); }
+
+    std::uint16_t port;
+
+private:
+    bool take(door_request&& request) {
+        std::lock_guard const guard(this->mutex);
+        this->ids.push_back(request.id);
+        this->changed.notify_all();
+        return true;
+    }
+    void note_hang_up() {
+        std::lock_guard const guard(this->mutex);
+        ++this->gone;
+        this->changed.notify_all();
+    }
+
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::vector<std::uint64_t> ids;
+    std::size_t gone{0};
+    door served;
+};
+
+std::string const two_requests = "GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("pipelined requests are begun together and answered in their order") {
+    wide_door entry;
+    test_client client("127.0.0.1", entry.port);
+    REQUIRE(client.send_raw(two_requests));
+    REQUIRE(entry.wait_for(2));
+    entry.answer(1, "second");
+    entry.answer(0, "first");
+    CHECK(client.read_answer().body == "first");
+    CHECK(client.read_answer().body == "second");
+}
+
+TEST_CASE("a caller that hangs up gives up all its pipelined requests") {
+    wide_door entry;
+    test_client client("127.0.0.1", entry.port);
+    REQUIRE(client.send_raw(two_requests));
+    REQUIRE(entry.wait_for(2));
+    client.close();
+    CHECK(entry.wait_for(2, 2));
+}
+
+TEST_CASE("a draining door answers all that it has read before it closes the connection") {
+    wide_door entry;
+    test_client client("127.0.0.1", entry.port);
+    REQUIRE(client.send_raw(two_requests));
+    REQUIRE(entry.wait_for(2));
+    entry.drain();
+    entry.answer(0, "first");
+    auto const first = client.read_answer();
+    CHECK(first.body == "first");
+    CHECK(first.header("Connection") != "close");
+    entry.answer(1, "second");
+    auto const second = client.read_answer();
+    CHECK(second.body == "second");
+    CHECK(second.header("Connection") == "close");
+}
+
+TEST_CASE("a body over the limit is answered by 413 though the caller goes on sending for a while") {
+    wide_door entry;
+    test_client client("127.0.0.1", entry.port);
+    REQUIRE(client.send_raw("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1500000\r\n\r\n"));
+    for (int part = 0; part < 15; ++part) {
+        client.send_raw(std::string(100'000, 'x'));
+    }
+    CHECK(client.read_answer().status == 413);
+}
--- a/tests/http/target_client_test.cpp
+++ b/tests/http/target_client_test.cpp
@@ -35,8 +35,12 @@
     }
     ~closing_target() {
         this->stopping = true;
-        this->acceptor.close();
-        this->worker.detach();
+        // Wakes the accept; the thread must not outlive the members that it uses.
+        asio::io_context own;
+        asio::ip::tcp::socket waker(own);
+        boost::system::error_code ignored;
+        waker.connect(this->acceptor.local_endpoint(), ignored);
+        this->worker.join();
     }
 
     std::atomic<int> arrivals{0};
@@ -47,6 +51,9 @@
             boost::system::error_code error;
             asio::ip::tcp::socket socket(this->io);
             this->acceptor.accept(socket, error);
+            if (this->stopping) {
+                return;
+            }
             boost::beast::flat_buffer buffer;
             while (!error) {
                 boost::beast::http::request<boost::beast::http::string_body> request;
--- /dev/null
+++ b/tests/platform/registry_documents_test.cpp
@@ -0,0 +1,136 @@
+/// What the platform's registry says, as the product's configuration and host list.
+
+#include "platform/registry_documents.hpp"
+
+#include "base/digest.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace caraway;
+using namespace caraway::registry;
+
+namespace {
+
+constexpr std::uint16_t link_port = 7000;
+
+std::string entry_text(std::string const& state = "ready", std::string const& extra = "") {
+    return R"({"service":"front","address":"10.0.0.1:8080","zone":"north","version":"v1","slots":57,"state":")" +
+           state + R"(","cold-remaining-ms":1200,"seq":4)" + extra + "}";
+}
+
+std::optional<target_entry> read(std::string const& text, std::string const& id = "i-1",
+                                 std::uint64_t created = 5) {
+    return read_target(id, QByteArray::fromStdString(text), created, link_port);
+}
+
+configuration_pointer configuration_of(std::string const& text) {
+    return attempt_or(
+        [&]() -> result<configuration_pointer> {
+            BOOST_LEAF_AUTO(made, read_configuration(QByteArray::fromStdString(text), 9));
+            return compile_bundle(made);
+        },
+        [](problem const& cause) -> configuration_pointer {
+            FAIL(to_text(cause));
+            return nullptr;
+        });
+}
+
+std::string const published =
+    R"({"version":7,"routes":[
+      {"name":"browse","host":"shop.example","prefix":"/goods/","kind":"safe","timeout-ms":800,
+       "target-latency-ms":1500,"priority":2,"traffic-split":[{"service":"front","weight":90},
+       {"service":"back","weight":10}],"max-attempts":2,"public":false},
+      {"name":"all","host":"shop.example","prefix":"/","kind":"download","priority":1,"service":"back",
+       "max-attempts":1,"public":true},
+      {"name":"order","host":"pay.example","prefix":"/goods/","kind":"unsafe","timeout-ms":1000,"priority":0,
+       "service":"front","max-attempts":3}],
+      "services":[{"name":"front","health-path":"/health","max-connections":442},{"name":"back"}],
+      "tenants":[{"name":"parish","api-keys":["k1","k2"],"priority":1,"rate-per-s":72,"burst":10},
+                 {"name":"free","api-keys":["k3"]}]})";
+
+} // namespace
+
+TEST_CASE("an entry names a host by its address, with instance, slots and state") {
+    auto const entry = read(entry_text("draining", R"(,"born":1700000000000)"));
+    REQUIRE(entry);
+    CHECK(entry->listed == listed_host{.host = "10.0.0.1",
+                                       .failure_domain = "north",
+                                       .service = "front",
+                                       .link = "10.0.0.1:7000",
+                                       .leaving = true,
+                                       .instance = "i-1",
+                                       .slots = 57,
+                                       .warm_up_ms = 1200});
+    CHECK(entry->started == 1'700'000'000'000U);
+}
+
+TEST_CASE("an entry of another writer names no target and harms no other") {
+    for (std::string const text :
+         {std::string("\x01\xff", 2), std::string("[]"), std::string("{}"), entry_text("resting"),
+          std::string(R"({"service":7,"address":"10.0.0.1:80","zone":"north","slots":5,"state":"ready"})"),
+          std::string(R"({"service":"front","address":"nowhere","zone":"north","slots":5,"state":"ready"})"),
+          std::string(
+              R"({"service":"front","address":"10.0.0.1:80","zone":"north","slots":"5","state":"ready"})"),
+          std::string(
+              R"({"service":"front","address":"10.0.0.1:80","zone":"north","slots":0,"state":"ready"})"),
+          std::string(R"({"service":"front","address":"10.0.0.1:80","slots":5,"state":"ready"})")}) {
+        INFO(text);
+        CHECK_FALSE(read(text));
+    }
+    CHECK_FALSE(read(entry_text(), ""));
+}
+
+TEST_CASE("of two entries for one address the target that began later holds") {
+    auto old_one = *read(entry_text("ready", R"(,"born":1000)"), "i-old", 3);
+    auto new_one = *read(entry_text("ready", R"(,"born":2000)"), "i-new", 8);
+    new_one.listed.service = "back";
+    auto const list = make_host_list({{"i-a", new_one}, {"i-b", old_one}}, 12);
+    CHECK(list.revision == 12);
+    REQUIRE(list.hosts.size() == 1);
+    CHECK(list.hosts.front().instance == "i-new");
+    CHECK(list.hosts.front().service == "back");
+}
+
+TEST_CASE("routes keep host, longest prefix, split, kind, limits and rank") {
+    auto const read_back = configuration_of(published);
+    REQUIRE(read_back);
+    CHECK(read_back->revision() == 9);
+    auto const* browse = read_back->find_route("GET", "shop.example:80", "/goods/7?x=1");
+    REQUIRE(browse != nullptr);
+    CHECK(browse->name == "browse");
+    CHECK(browse->idempotent);
+    CHECK(browse->deadline_ms == 800);
+    CHECK(browse->latency_objective_ms == 1500);
+    CHECK(browse->priority == priority_class::background);
+    CHECK(browse->retry_allowance == 1);
+    REQUIRE(browse->split.size() == 2);
+    CHECK(browse->split.at(1).service == "back");
+    CHECK(browse->split.at(1).weight == 10);
+    auto const* all = read_back->find_route("POST", "shop.example", "/other");
+    REQUIRE(all != nullptr);
+    CHECK(all->open);
+    CHECK(all->idempotent);
+    CHECK(all->deadline_ms == 600'000);
+    auto const* order = read_back->find_route("POST", "pay.example", "/goods/1");
+    REQUIRE(order != nullptr);
+    CHECK_FALSE(order->idempotent);
+    CHECK_FALSE(order->tickets);
+    CHECK(order->retry_allowance == 2);
+    CHECK(read_back->find_route("GET", "elsewhere.example", "/goods/1") == nullptr);
+    CHECK(read_back->find_route("GET", "pay.example", "/goods") == nullptr);
+}
+
+TEST_CASE("keys are kept as hashes only, and an organisation may have no rate") {
+    auto const read_back = configuration_of(published);
+    REQUIRE(read_back);
+    auto const* parish = read_back->find_organisation_by_key(sha256_hex("k2"));
+    REQUIRE(parish != nullptr);
+    CHECK(parish->name == "parish");
+    CHECK(parish->rate == 72);
+    CHECK(parish->burst == 10);
+    CHECK(parish->is_limited());
+    auto const* free = read_back->find_organisation_by_key(sha256_hex("k3"));
+    REQUIRE(free != nullptr);
+    CHECK_FALSE(free->is_limited());
+    CHECK(read_back->find_organisation_by_key("k1") == nullptr);
+}
