--- a/libraries/config/schema.cpp
+++ b/libraries/config/schema.cpp
@@ -61,6 +61,8 @@
     {"platform", "interface", text, 1, max_name, false, "",
      "What the platform speaks: documents, or a name that platform/ adds."},
     {"platform", "url", text, 8, 1000, true, "", "The platform's read-and-watch service."},
+    {"platform", "parameters", text, 0, 10'000, false, "",
+     "What the platform publishes of itself, for its interface."},
     {"link", "fleet_secret", text, 16, 1000, true, "", "Shared by all nodes; proves that a peer is one."},
     {"link", "peers", text_list, 0, 1000, false, "HOST=DOMAIN=SERVICE=IP:PORT",
      "Peers known before the host list."},
--- a/libraries/config/settings.cpp
+++ b/libraries/config/settings.cpp
@@ -136,6 +136,7 @@
     BOOST_LEAF_ASSIGN(read.target, reader.address("target"));
     read.platform_interface = reader.get_or<std::string>("platform", "interface", read.platform_interface);
     read.platform_url = reader.get_or<std::string>("platform", "url", "");
+    read.platform_parameters = reader.get_or<std::string>("platform", "parameters", "");
     read.fleet_secret = reader.get_or<std::string>("link", "fleet_secret", "");
     if (auto const* seeds = reader.find("link", "peers")) {
         for (auto const& text : std::get<std::vector<std::string>>(seeds->value)) {
--- a/libraries/config/settings.hpp
+++ b/libraries/config/settings.hpp
@@ -53,6 +53,7 @@
     std::optional<endpoint> readiness; ///< Answers only whether the node takes new work; empty: not opened.
     std::string platform_interface{"documents"};
     std::string platform_url;
+    std::string platform_parameters; ///< What the platform publishes of itself; read by the interface.
     std::string fleet_secret;
     std::vector<seed_peer> peers;
     std::size_t max_body{1'048'576};
--- a/libraries/node/core_thread.cpp
+++ b/libraries/node/core_thread.cpp
@@ -18,11 +18,10 @@
 
 } // namespace
 
-core_thread::core_thread(settings wanted, bool platform_is_current, std::uint64_t incarnation,
+core_thread::core_thread(settings wanted, platform_traits traits, std::uint64_t incarnation,
                          std::function<void(effects&&)> handler)
-    : core(std::move(wanted), platform_is_current, incarnation, {}, monotonic_clock::now()),
-      carry_out(std::move(handler)), events(ring_capacity), published(std::make_shared<node_status const>()),
-      ticks(events_loop.context()) {
+    : core(std::move(wanted), traits, incarnation, {}, monotonic_clock::now()), carry_out(std::move(handler)),
+      events(ring_capacity), published(std::make_shared<node_status const>()), ticks(events_loop.context()) {
     this->events.set_wake(
         [this] { boost::asio::post(this->events_loop.context(), [this] { this->drain_events(); }); });
 }
--- a/libraries/node/core_thread.hpp
+++ b/libraries/node/core_thread.hpp
@@ -18,7 +18,7 @@
 class core_thread {
 public:
     /// `carry_out` is called on this thread with what is to be done, and must not block.
-    core_thread(settings wanted, bool platform_is_current, std::uint64_t incarnation,
+    core_thread(settings wanted, platform_traits traits, std::uint64_t incarnation,
                 std::function<void(effects&&)> carry_out);
     ~core_thread();
     core_thread(core_thread const&) = delete;
--- a/libraries/node/node_context.hpp
+++ b/libraries/node/node_context.hpp
@@ -6,6 +6,7 @@
 #include "node/effects.hpp"
 #include "node/peer_table.hpp"
 #include "policy/admission_view.hpp"
+#include "policy/local_rate_share.hpp"
 #include "policy/quarantine.hpp"
 #include "policy/repeat_budget.hpp"
 #include "policy/retry_allowance.hpp"
@@ -35,8 +36,8 @@
     node_context(settings wanted, std::uint64_t own_incarnation, rights_timing limits, time_point started)
         : options(std::move(wanted)), incarnation(own_incarnation),
           peers(options.host, options.failure_domain, out),
-          rights(options.host, options.failure_domain, own_incarnation, limits, started,
-                 options.rate_shards) {}
+          rights(options.host, options.failure_domain, own_incarnation, limits, started, options.rate_shards),
+          local_rates(started) {}
 
     /// Sends to a host; a message to this host itself is handled in the same round. False when there is no
     /// link.
@@ -69,6 +70,7 @@
     std::deque<addressed_message> local;
     peer_table peers;
     rate_authority rights;
+    local_rate_share local_rates;
     admission_view admissions;
     target_chooser chooser;
     retry_budget budget;
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -36,10 +36,11 @@
 
 } // namespace
 
-node_core::node_core(settings wanted, bool platform_is_current, std::uint64_t incarnation,
-                     rights_timing limits, time_point started)
+node_core::node_core(settings wanted, platform_traits traits, std::uint64_t incarnation, rights_timing limits,
+                     time_point started)
     : context(std::move(wanted), incarnation, limits, started), local(context, started),
-      origin(context, local), spread(context.out, started, platform_is_current), last_now(started) {
+      origin(context, local), spread(context.out, started, traits.is_current), tolerance(traits.rates),
+      last_now(started) {
     this->context.report = [this] { return this->own_report(this->last_now); };
     // Seeds make links possible before any list was read; rights wait for the list itself.
     this->hosts = seeds_of(this->context.options);
@@ -186,11 +187,16 @@
     }
     double const weight = this->domain_weight();
     std::unordered_map<std::string, rate_terms> terms;
+    std::unordered_map<std::string, rate_division> divisions;
     for (auto const& [name, entry] : this->context.configuration->organisations()) {
-        if (entry.is_limited()) {
-            terms[name] = {entry.rate * weight, entry.burst * weight};
+        if (!entry.is_limited()) {
+            continue;
         }
+        auto const division = divide_rate(entry.rate, entry.burst, this->hosts.size(), this->tolerance);
+        terms[name] = {entry.rate * weight * division.lent_part, entry.burst * weight * division.lent_part};
+        divisions[name] = division;
     }
+    this->context.local_rates.configure(divisions, now);
     this->context.rights.configure(std::move(terms), now);
 }
 
--- a/libraries/node/node_core.hpp
+++ b/libraries/node/node_core.hpp
@@ -6,6 +6,7 @@
 #include "node/executor.hpp"
 #include "node/node_context.hpp"
 #include "node/originator.hpp"
+#include "platform/platform_source.hpp"
 
 #include <memory>
 #include <string>
@@ -25,7 +26,7 @@
 
 class node_core {
 public:
-    node_core(settings wanted, bool platform_is_current, std::uint64_t incarnation, rights_timing limits,
+    node_core(settings wanted, platform_traits traits, std::uint64_t incarnation, rights_timing limits,
               time_point started);
 
     void handle(core_event&& event, time_point now);
@@ -63,6 +64,7 @@
     originator origin;
     document_spread spread;
     std::vector<listed_host> hosts;
+    rate_tolerance tolerance;
     time_point last_now;
     time_point next_gossip;
     time_point next_rights;
--- a/libraries/node/node_runtime.cpp
+++ b/libraries/node/node_runtime.cpp
@@ -36,8 +36,8 @@
                  .post = options.span_url.empty()
                              ? std::function<void(std::string)>{}
                              : [this](std::string text) { this->post_spans(std::move(text)); }}),
-      compiles(max_compiles), core(options, binding.is_current, incarnation,
-                                   [this](effects&& all) { this->carry_out(std::move(all)); }),
+      compiles(max_compiles),
+      core(options, binding.traits, incarnation, [this](effects&& all) { this->carry_out(std::move(all)); }),
       links({options.host, incarnation}, options.fleet_secret,
             std::max(least_message, options.max_body + message_overhead),
             [this](link_event&& event) { return this->core.push(std::move(event)); }),
--- a/libraries/platform/platform_source.hpp
+++ b/libraries/platform/platform_source.hpp
@@ -4,6 +4,7 @@
 #include "config/bundle.hpp"
 #include "config/settings.hpp"
 #include "http/http_dialect.hpp"
+#include "policy/local_rate_share.hpp"
 
 #include <functional>
 #include <memory>
@@ -31,12 +32,18 @@
     virtual void set_active(bool active) = 0;
 };
 
-/// One way to run on a platform: how it is read, and what callers and targets speak on it.
-struct platform_binding {
-    http_dialect dialect;
+/// What a node's decisions may rely on.
+struct platform_traits {
     /// The platform never serves an older state than it served before, so a node that starts need not ask its
     /// peers before it believes it.
     bool is_current{false};
+    rate_tolerance rates;
+};
+
+/// One way to run on a platform: how it is read, and what callers and targets speak on it.
+struct platform_binding {
+    http_dialect dialect;
+    platform_traits traits;
     std::function<std::unique_ptr<platform_source>(settings const&, platform_events)> open;
 };
 
--- a/services/carawayd/main.cpp
+++ b/services/carawayd/main.cpp
@@ -38,7 +38,7 @@
         return document_binding();
     }
     if (read.platform_interface == registry::interface_name) {
-        return registry::binding();
+        return registry::binding(read);
     }
     return fail({result_code::configuration_out_of_bounds,
                  "'platform.interface' does not know '" + read.platform_interface + "'."});
--- /dev/null
+++ b/tests/policy/local_rate_share_test.cpp
@@ -0,0 +1,88 @@
+/// Even shares and lent part together keep to the tolerance (hot organisation, restart of all hosts).
+
+#include "policy/local_rate_share.hpp"
+#include "support/property.hpp"
+
+#include <vector>
+
+using namespace caraway;
+
+namespace {
+
+constexpr rate_tolerance tolerated{.window = duration{5000}, .overage = 0.25, .slack = 20};
+
+double bound_of(double rate, double burst) {
+    return 1.25 * (rate * 5 + burst) + 20;
+}
+
+} // namespace
+
+TEST_CASE("what all hosts may admit in a window stays within the tolerance") {
+    caraway::tests::check_property("division", [] {
+        double const rate = *rc::gen::inRange(1, 2000);
+        double const burst = *rc::gen::inRange(1, 2000);
+        auto const hosts = *rc::gen::inRange<std::size_t>(1, 400);
+        auto const division = divide_rate(rate, burst, hosts, tolerated);
+        double const local = static_cast<double>(hosts) * (division.local_rate * 5 + division.local_capacity);
+        double const lent = division.lent_part * (rate * 5 + burst);
+        RC_ASSERT(local + lent <= bound_of(rate, burst) + 1e-6);
+    });
+}
+
+TEST_CASE("without a tolerance everything is lent") {
+    auto const division = divide_rate(100, 100, 10, {});
+    CHECK(division.local_rate == 0);
+    CHECK(division.lent_part == 1);
+}
+
+TEST_CASE("after a restart of all hosts an organisation at its usual demand is served at once") {
+    constexpr std::size_t hosts = 17;
+    constexpr double rate = 72;
+    constexpr double usual = rate / 1.6;
+    auto const division = divide_rate(rate, rate, hosts, tolerated);
+    std::vector<local_rate_share> shares(hosts);
+    for (auto& share : shares) {
+        share.configure({{"org", division}}, {0});
+    }
+    int asked = 0;
+    int admitted = 0;
+    double const gap_ms = 1000 / usual;
+    for (double at = 500; at < 3000; at += gap_ms) {
+        ++asked;
+        admitted += shares[static_cast<std::size_t>(asked) % hosts].take("org", {at}) ? 1 : 0;
+    }
+    CHECK(admitted >= 0.95 * asked);
+}
+
+TEST_CASE("an organisation at many times its rate gets no more than its tolerance in any window") {
+    constexpr std::size_t hosts = 13;
+    constexpr double rate = 50;
+    auto const division = divide_rate(rate, rate, hosts, tolerated);
+    std::vector<local_rate_share> shares(hosts);
+    std::vector<double> admitted;
+    for (auto& share : shares) {
+        share.configure({{"org", division}}, {0});
+    }
+    for (double at = 0; at < 30'000; at += 1) {
+        if (shares[static_cast<std::size_t>(at) % hosts].take("org", {at})) {
+            admitted.push_back(at);
+        }
+        if (static_cast<int>(at) % 7000 == 6999) {
+            // All hosts restart: what their buckets held is gone.
+            for (auto& share : shares) {
+                share = local_rate_share({at});
+                share.configure({{"org", division}}, {at});
+            }
+        }
+    }
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < admitted.size(); ++last) {
+        while (admitted[last] - admitted[first] > 5000) {
+            ++first;
+        }
+        double const in_window = static_cast<double>(last - first + 1);
+        // Restarted pools lend nothing for as long as the starting rate lasts.
+        double const lent = division.lent_part * (rate * (5 - starting_span.seconds()) + rate);
+        CHECK(in_window + lent <= bound_of(rate, rate));
+    }
+}
