--- a/libraries/base/digest.cpp
+++ b/libraries/base/digest.cpp
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <cstring>
+#include <random>
 #include <stdexcept>
 
 namespace caraway {
@@ -91,10 +92,24 @@
 }
 
 std::uint64_t random_number() {
-    std::uint64_t value = 0;
-    auto const bytes = random_bytes(sizeof value);
-    std::memcpy(&value, bytes.data(), sizeof value);
-    return value;
+    // Seeded by the system, then cheap: a draw is part of every choice of a host.
+    thread_local std::mt19937_64 generator = [] {
+        std::uint64_t seed = 0;
+        auto const bytes = random_bytes(sizeof seed);
+        std::memcpy(&seed, bytes.data(), sizeof seed);
+        return std::mt19937_64(seed);
+    }();
+    return generator();
+}
+
+std::string random_digits(std::size_t count) {
+    std::string digits;
+    while (digits.size() < count) {
+        auto const number = random_number();
+        digits += to_hex({reinterpret_cast<char const*>(&number), sizeof number});
+    }
+    digits.resize(count);
+    return digits;
 }
 
 } // namespace caraway
--- a/libraries/base/digest.hpp
+++ b/libraries/base/digest.hpp
@@ -27,4 +27,7 @@
 std::string random_bytes(std::size_t count);
 std::uint64_t random_number();
 
+/// Hexadecimal digits that tell things apart but protect nothing, as in trace ids.
+std::string random_digits(std::size_t count);
+
 } // namespace caraway
--- a/libraries/link/link_connection.cpp
+++ b/libraries/link/link_connection.cpp
@@ -2,10 +2,14 @@
 
 #include "link/codec.hpp"
 
-#include <arpa/inet.h>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 
 namespace caraway {
 
+namespace asio = boost::asio;
+
 namespace {
 
 constexpr std::size_t frame_header_bytes = 4;
@@ -30,82 +34,44 @@
 
 } // namespace
 
-link_connection::link_connection(link_hub& owner, connection_id number, handshake::role role)
+link_connection::link_connection(link_hub& owner, connection_id number, handshake::role role,
+                                 asio::ip::tcp::socket opened)
     : hub(owner), id(number), greeting(role, owner.identity, owner.secret),
-      dialled(role == handshake::role::dialling) {
-    nng_aio_alloc(&this->dial_aio, on_dialled, this);
-    nng_aio_alloc(&this->read_aio, on_read, this);
-    nng_aio_alloc(&this->write_aio, on_written, this);
-}
-
-link_connection::~link_connection() {
-    this->close();
-    for (auto* aio : {this->dial_aio, this->read_aio, this->write_aio}) {
-        nng_aio_stop(aio);
-        nng_aio_free(aio);
-    }
-    if (this->stream != nullptr) {
-        nng_stream_free(this->stream);
-    }
-    if (this->dialer != nullptr) {
-        nng_stream_dialer_free(this->dialer);
-    }
-}
-
-void link_connection::start_dialling(std::string const& address) {
-    if (nng_stream_dialer_alloc(&this->dialer, ("tcp://" + address).c_str()) != 0) {
-        return this->end();
-    }
-    nng_sockaddr local{};
-    local.s_in.sa_family = NNG_AF_INET;
-    bool const is_ipv4 = ::inet_pton(AF_INET, this->hub.own_ip.c_str(), &local.s_in.sa_addr) == 1;
-    if (is_ipv4 && local.s_in.sa_addr != 0) {
-        nng_stream_dialer_set_addr(this->dialer, NNG_OPT_LOCADDR, &local);
-    }
-    nng_stream_dialer_dial(this->dialer, this->dial_aio);
-}
+      dialled(role == handshake::role::dialling), socket(std::move(opened)) {}
 
-void link_connection::start_accepted(nng_stream* accepted) {
-    this->begin(accepted);
-}
-
-void link_connection::on_dialled(void* self) {
-    auto* connection = static_cast<link_connection*>(self);
-    if (nng_aio_result(connection->dial_aio) != 0) {
-        return connection->end();
-    }
-    connection->begin(static_cast<nng_stream*>(nng_aio_get_output(connection->dial_aio, 0)));
-    connection->enqueue(connection->greeting.hello());
+void link_connection::dial(asio::ip::tcp::endpoint const& place) {
+    this->socket.async_connect(place, [self = this->shared_from_this()](boost::system::error_code error) {
+        if (error) {
+            return self->end();
+        }
+        self->begin();
+        self->enqueue(self->greeting.hello());
+    });
 }
 
-void link_connection::begin(nng_stream* opened) {
-    {
-        std::lock_guard const guard(this->mutex);
-        this->stream = opened;
-        nng_stream_set_bool(opened, NNG_OPT_TCP_NODELAY, true);
-        if (this->ended) {
-            nng_stream_close(opened);
-        }
-    }
+void link_connection::begin() {
+    boost::system::error_code ignored;
+    this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     this->read_more();
 }
 
 void link_connection::read_more() {
-    nng_iov vector{this->chunk.data(), this->chunk.size()};
-    nng_aio_set_iov(this->read_aio, 1, &vector);
-    nng_stream_recv(this->stream, this->read_aio);
+    this->socket.async_read_some(
+        asio::buffer(this->chunk),
+        [self = this->shared_from_this()](boost::system::error_code error, std::size_t size) {
+            self->on_read(error, size);
+        });
 }
 
-void link_connection::on_read(void* self) {
-    auto* connection = static_cast<link_connection*>(self);
-    if (nng_aio_result(connection->read_aio) != 0) {
-        return connection->end();
+void link_connection::on_read(boost::system::error_code error, std::size_t size) {
+    if (error) {
+        return this->end();
     }
-    connection->incoming.append(connection->chunk.data(), nng_aio_count(connection->read_aio));
-    if (!connection->take_frames()) {
-        return connection->end();
+    this->incoming.append(this->chunk.data(), size);
+    if (!this->take_frames()) {
+        return this->end();
     }
-    connection->read_more();
+    this->read_more();
 }
 
 bool link_connection::take_frames() {
@@ -185,60 +151,57 @@
         return false;
     }
     std::lock_guard const guard(this->mutex);
-    if (this->ended || this->stream == nullptr || this->queued.size() + bytes.size() > max_queued_bytes) {
+    if (this->ended || this->queued.size() + bytes.size() > max_queued_bytes) {
         return false;
     }
     this->queued += frame_header(bytes.size());
     this->queued += bytes;
     this->hub.sent_bytes += bytes.size() + frame_header_bytes;
-    this->write_more();
+    if (!this->write_active) {
+        this->write_active = true;
+        // Written after the work at hand, so that messages of one round leave together.
+        asio::post(this->hub.context, [self = this->shared_from_this()] { self->write_more(); });
+    }
     return true;
 }
 
 void link_connection::write_more() {
-    if (this->write_active) {
-        return;
-    }
-    if (this->written == this->writing.size()) {
+    {
+        std::lock_guard const guard(this->mutex);
         this->writing.clear();
-        this->written = 0;
         this->writing.swap(this->queued);
+        this->write_active = !this->writing.empty() && !this->ended;
+        if (!this->write_active) {
+            return;
+        }
     }
-    if (this->writing.empty()) {
-        return;
-    }
-    nng_iov vector{this->writing.data() + this->written, this->writing.size() - this->written};
-    nng_aio_set_iov(this->write_aio, 1, &vector);
-    this->write_active = true;
-    nng_stream_send(this->stream, this->write_aio);
+    asio::async_write(this->socket, asio::buffer(this->writing),
+                      [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
+                          self->on_written(error);
+                      });
 }
 
-void link_connection::on_written(void* self) {
-    auto* connection = static_cast<link_connection*>(self);
-    if (nng_aio_result(connection->write_aio) != 0) {
-        return connection->end();
+void link_connection::on_written(boost::system::error_code error) {
+    if (error) {
+        return this->end();
     }
-    std::lock_guard const guard(connection->mutex);
-    connection->write_active = false;
-    connection->written += nng_aio_count(connection->write_aio);
-    connection->write_more();
+    this->write_more();
 }
 
 void link_connection::close() {
-    std::lock_guard const guard(this->mutex);
-    if (this->stream != nullptr) {
-        nng_stream_close(this->stream);
-    }
-    if (this->dialer != nullptr) {
-        nng_stream_dialer_close(this->dialer);
-    }
+    asio::post(this->hub.context, [self = this->shared_from_this()] { self->end(); });
 }
 
 void link_connection::end() {
-    if (this->ended.exchange(true)) {
-        return;
+    {
+        std::lock_guard const guard(this->mutex);
+        if (this->ended) {
+            return;
+        }
+        this->ended = true;
     }
-    this->close();
+    boost::system::error_code ignored;
+    this->socket.close(ignored);
     this->hub.report({.kind = link_event_kind::closed,
                       .connection = this->id,
                       .dialled = this->dialled,
--- a/libraries/link/link_connection.hpp
+++ b/libraries/link/link_connection.hpp
@@ -1,25 +1,25 @@
-/// One connection of the hub: framing, handshake and bounded outgoing bytes over an nng stream.
+/// One connection of the hub: framing, handshake and bounded outgoing bytes over TCP.
 #pragma once
 
 #include "base/clock.hpp"
 #include "link/link_hub.hpp"
 
-#include <nng/nng.h>
+#include <boost/asio/ip/tcp.hpp>
 
 #include <array>
+#include <atomic>
 #include <mutex>
 
 namespace caraway {
 
-class link_connection {
+/// Sockets and timers are touched on the hub's loop only; `send` may be called from any thread.
+class link_connection : public std::enable_shared_from_this<link_connection> {
 public:
-    link_connection(link_hub& owner, connection_id number, handshake::role role);
-    ~link_connection();
-    link_connection(link_connection const&) = delete;
-    link_connection& operator=(link_connection const&) = delete;
+    link_connection(link_hub& owner, connection_id number, handshake::role role,
+                    boost::asio::ip::tcp::socket opened);
 
-    void start_dialling(std::string const& address);
-    void start_accepted(nng_stream* accepted);
+    void dial(boost::asio::ip::tcp::endpoint const& place);
+    void begin();
 
     bool send(message const& content);
     void close();
@@ -27,13 +27,10 @@
     bool is_overdue(time_point now) const { return !this->open && now - this->born >= handshake_limit; }
 
 private:
-    static void on_dialled(void* self);
-    static void on_read(void* self);
-    static void on_written(void* self);
-
-    void begin(nng_stream* opened);
     void read_more();
+    void on_read(boost::system::error_code error, std::size_t size);
     void write_more();
+    void on_written(boost::system::error_code error);
     bool enqueue(message const& content);
     /// Takes every whole frame out of `incoming`; false when the connection must end.
     bool take_frames();
@@ -44,28 +41,23 @@
 
     static constexpr duration handshake_limit{3000};
 
-    link_hub& hub;
+    link_hub& hub; ///< Not touched once the loop has stopped.
     connection_id id;
     time_point born{monotonic_clock::now()};
     handshake greeting;
     bool dialled;
-    nng_stream_dialer* dialer{nullptr};
-    nng_stream* stream{nullptr};
-    nng_aio* dial_aio{nullptr};
-    nng_aio* read_aio{nullptr};
-    nng_aio* write_aio{nullptr};
+    boost::asio::ip::tcp::socket socket;
 
-    /// Touched by the reading callback only.
+    /// Touched on the loop only.
     std::array<char, 16'384> chunk{};
     std::string incoming;
+    std::string writing;
     std::atomic<bool> open{false};
-    std::atomic<bool> ended{false};
 
-    std::mutex mutex; ///< Guards the outgoing side and the stream's life.
+    std::mutex mutex; ///< Guards what is below.
     std::string queued;
-    std::string writing;
-    std::size_t written{0};
     bool write_active{false};
+    bool ended{false};
 };
 
 } // namespace caraway
--- a/libraries/link/link_hub.cpp
+++ b/libraries/link/link_hub.cpp
@@ -2,118 +2,114 @@
 
 #include "link/link_connection.hpp"
 
-#include <nng/nng.h>
+#include <boost/asio/post.hpp>
+
+#include <charconv>
+#include <vector>
 
 namespace caraway {
 
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
 namespace {
 
 constexpr duration overdue_check_interval{500};
 
-} // namespace
-
-/// Accepts one connection after another.
-struct link_listener {
-    explicit link_listener(link_hub& owner) : hub(owner) { nng_aio_alloc(&this->aio, on_accepted, this); }
-    ~link_listener() {
-        if (this->listener != nullptr) {
-            nng_stream_listener_close(this->listener);
-        }
-        nng_aio_stop(this->aio);
-        nng_aio_free(this->aio);
-        if (this->listener != nullptr) {
-            nng_stream_listener_free(this->listener);
-        }
-    }
-    link_listener(link_listener const&) = delete;
-    link_listener& operator=(link_listener const&) = delete;
-
-    static void on_accepted(void* self) {
-        auto* acceptor = static_cast<link_listener*>(self);
-        int const error = nng_aio_result(acceptor->aio);
-        if (error == NNG_ECLOSED || error == NNG_ECANCELED) {
-            return;
-        }
-        if (error == 0) {
-            acceptor->hub.adopt(nng_aio_get_output(acceptor->aio, 0));
-        }
-        nng_stream_listener_accept(acceptor->listener, acceptor->aio);
+/// Reads "IP:PORT"; the port is 0 when it is not one.
+tcp::endpoint endpoint_of(std::string const& address) {
+    auto const colon = address.rfind(':');
+    std::uint16_t port = 0;
+    boost::system::error_code error;
+    auto const ip = asio::ip::make_address(address.substr(0, colon), error);
+    if (!error && colon != std::string::npos) {
+        std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
     }
+    return {ip, port};
+}
 
-    link_hub& hub;
-    nng_stream_listener* listener{nullptr};
-    nng_aio* aio{nullptr};
-};
+} // namespace
 
 link_hub::link_hub(link_identity own_identity, std::string fleet_secret, std::size_t max_message,
                    event_sink sink_function)
-    : identity(std::move(own_identity)), secret(std::move(fleet_secret)), max_frame(max_message),
-      sink(std::move(sink_function)) {}
+    : link_hub(std::move(own_identity), std::move(fleet_secret), max_message, std::move(sink_function),
+               std::make_unique<service_loop>()) {}
+
+link_hub::link_hub(link_identity own_identity, std::string fleet_secret, std::size_t max_message,
+                   event_sink sink_function, std::unique_ptr<service_loop> own)
+    : link_hub(std::move(own_identity), std::move(fleet_secret), max_message, std::move(sink_function),
+               *own) {
+    this->own_loop = std::move(own);
+    this->own_loop->start();
+}
+
+link_hub::link_hub(link_identity own_identity, std::string fleet_secret, std::size_t max_message,
+                   event_sink sink_function, service_loop& shared)
+    : context(shared.context()), acceptor(this->context), identity(std::move(own_identity)),
+      secret(std::move(fleet_secret)), max_frame(max_message), sink(std::move(sink_function)) {}
 
 link_hub::~link_hub() {
-    this->listener.reset();
-    std::unordered_map<connection_id, std::shared_ptr<link_connection>> open;
-    {
-        std::lock_guard const guard(this->mutex);
-        this->closing = true;
-        open = this->connections;
-    }
-    for (auto const& [id, connection] : open) {
-        connection->close();
-    }
-    open.clear();
-    // Destroyed outside the lock: a connection's last callback still asks the hub to forget it.
-    while (this->connection_count() > 0) {
-        std::vector<std::shared_ptr<link_connection>> all;
-        {
-            std::lock_guard const guard(this->mutex);
-            for (auto& [id, connection] : this->connections) {
-                all.push_back(connection);
-            }
-            this->connections.clear();
-        }
+    if (this->own_loop != nullptr) {
+        this->own_loop->stop();
     }
-    this->reap();
 }
 
 result<void> link_hub::listen(std::string const& address) {
-    this->own_ip = address.substr(0, address.rfind(':'));
-    auto started = std::make_unique<link_listener>(*this);
-    int error = nng_stream_listener_alloc(&started->listener, ("tcp://" + address).c_str());
-    if (error == 0) {
-        error = nng_stream_listener_listen(started->listener);
+    auto const place = endpoint_of(address);
+    boost::system::error_code error;
+    this->acceptor.open(place.protocol(), error);
+    if (!error) {
+        this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        this->acceptor.bind(place, error);
+    }
+    if (!error) {
+        this->acceptor.listen(asio::socket_base::max_listen_connections, error);
     }
-    if (error != 0) {
+    if (error || place.port() == 0) {
         return fail({result_code::io_failed,
-                     "The link address " + address + " can't be opened: " + nng_strerror(error) + "."});
+                     "The link address " + address + " can't be opened: " + error.message() + "."});
     }
-    nng_stream_listener_accept(started->listener, started->aio);
-    this->listener = std::move(started);
+    this->own_ip = place.address();
+    asio::post(this->context, [this] { this->accept(); });
     return {};
 }
 
-void link_hub::dial(connection_id id, std::string const& address) {
-    auto const connection = std::make_shared<link_connection>(*this, id, handshake::role::dialling);
-    {
-        std::lock_guard const guard(this->mutex);
-        this->connections[id] = connection;
-    }
-    connection->start_dialling(address);
+void link_hub::accept() {
+    this->acceptor.async_accept([this](boost::system::error_code error, tcp::socket opened) {
+        if (error == asio::error::operation_aborted) {
+            return;
+        }
+        if (!error) {
+            std::shared_ptr<link_connection> connection;
+            {
+                std::lock_guard const guard(this->mutex);
+                auto const id = this->next_accepted++;
+                connection = std::make_shared<link_connection>(*this, id, handshake::role::accepting,
+                                                               std::move(opened));
+                this->connections[id] = connection;
+            }
+            connection->begin();
+        }
+        this->accept();
+    });
 }
 
-void link_hub::adopt(void* stream) {
-    std::shared_ptr<link_connection> connection;
+void link_hub::dial(connection_id id, std::string const& address) {
+    tcp::socket fresh(this->context);
+    boost::system::error_code ignored;
+    fresh.open(tcp::v4(), ignored);
+    if (this->own_ip.is_v4() && !this->own_ip.is_unspecified()) {
+        // A peer tells hosts apart by their IP numbers; without the bind the system may choose another one.
+        fresh.set_option(tcp::socket::reuse_address(true), ignored);
+        fresh.bind({this->own_ip, 0}, ignored);
+    }
+    auto const connection =
+        std::make_shared<link_connection>(*this, id, handshake::role::dialling, std::move(fresh));
     {
         std::lock_guard const guard(this->mutex);
-        if (this->closing) {
-            nng_stream_free(static_cast<nng_stream*>(stream));
-            return;
-        }
-        auto const id = this->next_accepted++;
-        connection = std::make_shared<link_connection>(*this, id, handshake::role::accepting);
         this->connections[id] = connection;
     }
-    connection->start_accepted(static_cast<nng_stream*>(stream));
+    asio::post(this->context, [connection, place = endpoint_of(address)] { connection->dial(place); });
 }
 
 std::shared_ptr<link_connection> link_hub::find(connection_id id) const {
@@ -135,25 +131,10 @@
 
 void link_hub::forget(connection_id id) {
     std::lock_guard const guard(this->mutex);
-    auto const found = this->connections.find(id);
-    if (found != this->connections.end()) {
-        this->ended.push_back(std::move(found->second));
-        this->connections.erase(found);
-    }
+    this->connections.erase(id);
 }
 
 void link_hub::reap() {
-    std::vector<std::shared_ptr<link_connection>> freed;
-    {
-        std::lock_guard const guard(this->mutex);
-        freed.swap(this->ended);
-    }
-    // The connections go outside the lock: their last callbacks may need it to finish.
-    freed.clear();
-    this->close_overdue();
-}
-
-void link_hub::close_overdue() {
     auto const now = monotonic_clock::now();
     if (now < this->next_overdue_check) {
         return;
--- a/libraries/link/link_hub.hpp
+++ b/libraries/link/link_hub.hpp
@@ -1,33 +1,38 @@
-/// All links of one node: a listener and the connections it accepted or dialled, over nng's TCP streams.
+/// All links of one node: a listener and the connections it accepted or dialled, over TCP by Boost.Asio.
 ///
-/// nng's sockets are not used: REQ resends by itself, and the raw and bus sockets drop silently when a pipe
-/// is full (docs/design/links.md). A frame is four bytes of length, most significant first, and one CBOR
-/// message.
+/// nng does not fit (docs/design/links.md): REQ resends by itself, the raw and bus sockets drop silently when
+/// a pipe is full, and its streams wake two threads of their own for each message. A frame is four bytes of
+/// length, most significant first, and one CBOR message.
 #pragma once
 
 #include "base/clock.hpp"
 #include "base/problem.hpp"
+#include "base/service_loop.hpp"
 #include "link/link_event.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
+
 #include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <unordered_map>
-#include <vector>
 
 namespace caraway {
 
 class link_connection;
 
-/// Thread-safe. Events come on nng's threads; the sink must not block, and says whether it took the event.
+/// Thread-safe. Events come on the loop; the sink must not block, and says whether it took the event.
 class link_hub {
 public:
     using event_sink = std::function<bool(link_event&&)>;
 
     /// `max_message` bounds a frame in bytes.
     link_hub(link_identity own_identity, std::string fleet_secret, std::size_t max_message, event_sink sink);
+    /// Runs on `shared`, which must have stopped before the hub is destroyed.
+    link_hub(link_identity own_identity, std::string fleet_secret, std::size_t max_message, event_sink sink,
+             service_loop& shared);
     ~link_hub();
     link_hub(link_hub const&) = delete;
     link_hub& operator=(link_hub const&) = delete;
@@ -44,8 +49,7 @@
 
     void close(connection_id id);
 
-    /// Frees connections that have ended and closes strangers that say nothing; call it from time to time,
-    /// never from the sink.
+    /// Closes strangers that say nothing; call it from time to time.
     void reap();
 
     std::size_t connection_count() const;
@@ -53,27 +57,28 @@
 
 private:
     friend class link_connection;
-    friend struct link_listener;
 
-    void adopt(void* stream);
+    link_hub(link_identity own_identity, std::string fleet_secret, std::size_t max_message, event_sink sink,
+             std::unique_ptr<service_loop> own);
+
+    void accept();
     bool report(link_event&& event) { return this->sink(std::move(event)); }
     void forget(connection_id id);
-    void close_overdue();
     std::shared_ptr<link_connection> find(connection_id id) const;
 
+    std::unique_ptr<service_loop> own_loop; ///< Null when the loop is shared.
+    boost::asio::io_context& context;
+    boost::asio::ip::tcp::acceptor acceptor;
     link_identity identity;
     std::string secret;
     std::size_t max_frame;
     event_sink sink;
-    std::string own_ip;
+    boost::asio::ip::address own_ip;
     std::atomic<std::uint64_t> sent_bytes{0};
-    std::unique_ptr<struct link_listener> listener;
     mutable std::mutex mutex;
     connection_id next_accepted{connection_id{1} << 63U};
     std::unordered_map<connection_id, std::shared_ptr<link_connection>> connections;
-    std::vector<std::shared_ptr<link_connection>> ended;
-    bool closing{false};
-    time_point next_overdue_check; ///< Of the thread that reaps.
+    time_point next_overdue_check; ///< Of the thread that asks for it.
 };
 
 } // namespace caraway
--- a/libraries/node/core_thread.cpp
+++ b/libraries/node/core_thread.cpp
@@ -15,6 +15,10 @@
 /// The same while nothing is live: gossip and rights are due every ten milliseconds or more.
 constexpr auto idle_tick = std::chrono::milliseconds(10);
 constexpr duration publish_interval{250};
+/// Metrics and status as text cost more than many requests; without a reader they are made this often.
+constexpr duration unread_texts_interval{2000};
+/// A reader that came within this span counts as one: metrics are commonly fetched every few seconds.
+constexpr duration reader_memory{10'000};
 
 } // namespace
 
@@ -43,6 +47,11 @@
     return this->events.try_push(std::make_unique<core_event>(std::move(event)));
 }
 
+std::shared_ptr<node_status const> core_thread::read_texts() {
+    this->texts_read_at = monotonic_clock::now().milliseconds;
+    return this->status();
+}
+
 void core_thread::schedule_tick() {
     this->ticks.expires_after(this->idle ? idle_tick : busy_tick);
     this->ticks.async_wait([this](boost::system::error_code error) {
@@ -71,7 +80,15 @@
     this->idle = this->core.is_idle();
     if (now >= this->next_publish) {
         this->next_publish = now + publish_interval;
-        std::atomic_store(&this->published, std::shared_ptr<node_status const>(this->core.status(now)));
+        bool const has_reader = now - time_point{this->texts_read_at} < reader_memory;
+        bool const with_texts = has_reader || now >= this->next_texts;
+        this->next_texts = with_texts ? now + unread_texts_interval : this->next_texts;
+        auto made = this->core.status(with_texts, now);
+        if (!with_texts) {
+            made->metrics_text = this->published->metrics_text;
+            made->status_json = this->published->status_json;
+        }
+        std::atomic_store(&this->published, std::shared_ptr<node_status const>(std::move(made)));
     }
 }
 
--- a/libraries/node/core_thread.hpp
+++ b/libraries/node/core_thread.hpp
@@ -32,6 +32,8 @@
     bool push(core_event&& event);
 
     std::shared_ptr<node_status const> status() const { return std::atomic_load(&this->published); }
+    /// The same for a reader of its texts: while somebody reads them they are made more often.
+    std::shared_ptr<node_status const> read_texts();
     bool is_idle() const { return this->idle; }
 
 private:
@@ -48,6 +50,8 @@
     std::atomic<bool> idle{true};
     std::shared_ptr<node_status const> published;
     time_point next_publish;
+    time_point next_texts;
+    std::atomic<double> texts_read_at{0}; ///< On the monotonic clock, in milliseconds.
     service_loop events_loop;
     boost::asio::steady_timer ticks;
 };
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -87,6 +87,12 @@
     return nearest;
 }
 
+bool executor::runs_beyond(time_point instant) const {
+    return std::ranges::any_of(this->executions, [instant](auto const& entry) {
+        return entry.second.stage == execution::state::running && entry.second.deadline > instant;
+    });
+}
+
 void executor::receive(std::string const& from, connection_id connection, forward_message&& request,
                        time_point now) {
     execution work{.id = this->next_id++, .request = std::move(request)};
--- a/libraries/node/executor.hpp
+++ b/libraries/node/executor.hpp
@@ -73,6 +73,8 @@
     /// The running request whose deadline is nearest to that of a call; null when none is near enough. A hint
     /// only: two requests may have the same deadline.
     execution* find_by_deadline(time_point call_deadline);
+    /// Whether some running request ends later than this instant.
+    bool runs_beyond(time_point instant) const;
 
     /// The target waits for a call, so the time until its end is not the target's own.
     void note_call_started(execution& parent, time_point now);
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -342,13 +342,16 @@
     return this->context.configuration != nullptr && this->spread.revision(document_kind::hosts) > 0;
 }
 
-std::shared_ptr<node_status const> node_core::status(time_point now) {
+std::shared_ptr<node_status> node_core::status(bool with_texts, time_point now) {
     auto made = std::make_shared<node_status>();
     made->phase = this->context.phase;
     made->documents_ready = this->is_ready();
     made->ready = made->documents_ready && this->context.phase == node_phase::serving;
     made->reads_platform = this->reads_platform();
     made->configuration_revision = this->spread.revision(document_kind::configuration);
+    if (!with_texts) {
+        return made;
+    }
     auto& numbers = this->context.numbers;
     numbers.set("configuration_revision", static_cast<double>(made->configuration_revision));
     numbers.set("hosts_revision", static_cast<double>(this->spread.revision(document_kind::hosts)));
--- a/libraries/node/node_core.hpp
+++ b/libraries/node/node_core.hpp
@@ -35,7 +35,8 @@
     /// Moves out what is to be done.
     effects take_effects();
 
-    std::shared_ptr<node_status const> status(time_point now);
+    /// `with_texts`: also the texts of metrics and status.
+    std::shared_ptr<node_status> status(bool with_texts, time_point now);
 
     /// Whether this node is one of its domain's readers of the platform.
     bool reads_platform() const;
--- a/libraries/node/node_runtime.cpp
+++ b/libraries/node/node_runtime.cpp
@@ -38,9 +38,10 @@
                              : [this](std::string text) { this->post_spans(std::move(text)); }}),
       compiles(max_compiles),
       core(options, binding.traits, incarnation, [this](effects&& all) { this->carry_out(std::move(all)); }),
-      links({options.host, incarnation}, options.fleet_secret,
-            std::max(least_message, options.max_body + message_overhead),
-            [this](link_event&& event) { return this->core.push(std::move(event)); }),
+      links(
+          {options.host, incarnation}, options.fleet_secret,
+          std::max(least_message, options.max_body + message_overhead),
+          [this](link_event&& event) { return this->core.push(std::move(event)); }, core.loop()),
       target(
           {.address = options.target.address,
            .port = options.target.port,
@@ -94,7 +95,8 @@
     if (this->options.egress) {
         this->egress = this->make_door(*this->options.egress, door_side::egress);
     }
-    this->page = std::make_unique<operator_page>([this] { return this->core.status(); });
+    this->page = std::make_unique<operator_page>([this] { return this->core.status(); },
+                                                 [this] { return this->core.read_texts(); });
     BOOST_LEAF_CHECK(this->page->open(this->options.operators));
     if (this->options.readiness) {
         BOOST_LEAF_CHECK(this->page->open_readiness(*this->options.readiness));
--- a/libraries/node/operator_page.cpp
+++ b/libraries/node/operator_page.cpp
@@ -25,18 +25,17 @@
 
 } // namespace
 
-operator_page::operator_page(status_source source)
-    : status(std::move(source)), server(std::make_unique<QHttpServer>()) {
+operator_page::operator_page(status_source source, status_source text_source)
+    : status(std::move(source)), texts(std::move(text_source)), server(std::make_unique<QHttpServer>()) {
     this->server->route("/health", [] { return plain("ok\n"); });
     this->server->route("/ready", [this] {
         bool const ready = this->status()->ready;
         return plain(ready ? "ready\n" : "not ready\n",
                      ready ? status_code::Ok : status_code::ServiceUnavailable);
     });
-    this->server->route("/metrics", [this] { return plain(this->status()->metrics_text); });
+    this->server->route("/metrics", [this] { return plain(this->texts()->metrics_text); });
     this->server->route("/status", [this] {
-        return QHttpServerResponse("application/json",
-                                   QByteArray::fromStdString(this->status()->status_json));
+        return QHttpServerResponse("application/json", QByteArray::fromStdString(this->texts()->status_json));
     });
 }
 
--- a/libraries/node/operator_page.hpp
+++ b/libraries/node/operator_page.hpp
@@ -19,7 +19,8 @@
 public:
     using status_source = std::function<std::shared_ptr<node_status const>()>;
 
-    explicit operator_page(status_source source);
+    /// `texts` gives the status with fresh metrics and status texts.
+    operator_page(status_source source, status_source texts);
     ~operator_page();
     operator_page(operator_page const&) = delete;
     operator_page& operator=(operator_page const&) = delete;
@@ -30,6 +31,7 @@
 
 private:
     status_source status;
+    status_source texts;
     std::unique_ptr<QHttpServer> server;
     std::unique_ptr<QHttpServer> readiness;
 };
--- a/libraries/node/originator.cpp
+++ b/libraries/node/originator.cpp
@@ -143,7 +143,11 @@
                                request.key_sha256.empty() && request.timeout_ms > 0;
     if (may_be_nested) {
         if (auto* parent = this->local.find_by_deadline(now + duration{request.timeout_ms})) {
-            return this->begin_inferred(std::move(request), *matched, *parent, now);
+            return this->begin_inferred(std::move(request), *matched, parent, now);
+        }
+        // A call may end earlier than the request it is made for, never later.
+        if (this->local.runs_beyond(now + duration{request.timeout_ms})) {
+            return this->begin_inferred(std::move(request), *matched, nullptr, now);
         }
     }
     auto const* owner = this->context.configuration->find_organisation_by_key(request.key_sha256);
@@ -169,8 +173,7 @@
     call.request.path = std::move(request.path);
     call.request.headers = std::move(request.headers);
     call.request.body = std::move(request.body);
-    call.request.request_id =
-        request.request_id.empty() ? to_hex(random_bytes(8)) : std::move(request.request_id);
+    call.request.request_id = request.request_id.empty() ? random_digits(16) : std::move(request.request_id);
     call.request.priority = static_cast<std::uint8_t>(matched.priority);
     call.request.parent_span = trace_context::new_span_id();
     double const wanted = request.timeout_ms > 0 ? request.timeout_ms : matched.deadline_ms;
@@ -228,21 +231,25 @@
     this->dispatch(stored, now);
 }
 
-void originator::begin_inferred(door_request&& request, route const& matched, execution& parent,
+void originator::begin_inferred(door_request&& request, route const& matched, execution* parent,
                                 time_point now) {
-    if (parent.request.depth + 1 >= max_depth) {
+    if (parent != nullptr && parent->request.depth + 1 >= max_depth) {
         return this->reject(request, result_code::request_malformed, now);
     }
     auto call = this->make_call(std::move(request), matched, now);
-    call.likely_parent = parent.id;
     call.allowance = retry_allowance(matched.retry_allowance);
     call.request.holds_work = true;
-    call.request.selection_hash = parent.request.selection_hash;
-    call.request.priority = parent.request.priority;
-    call.request.depth = static_cast<std::uint8_t>(parent.request.depth + 1);
-    call.request.trace_id = parent.request.trace_id;
-    call.parent_span = parent.span_id;
-    this->local.note_call_started(parent, now);
+    call.request.depth = 1;
+    call.request.selection_hash = fast_hash(call.request.request_id);
+    if (parent != nullptr) {
+        call.likely_parent = parent->id;
+        call.request.selection_hash = parent->request.selection_hash;
+        call.request.priority = parent->request.priority;
+        call.request.depth = static_cast<std::uint8_t>(parent->request.depth + 1);
+        call.request.trace_id = parent->request.trace_id;
+        call.parent_span = parent->span_id;
+        this->local.note_call_started(*parent, now);
+    }
     this->by_door[{call.side, call.door_id}] = call.id;
     auto const id = call.id;
     this->dispatch(this->calls.emplace(id, std::move(call)).first->second, now);
@@ -635,12 +642,31 @@
     return reply;
 }
 
+void originator::log_ended(origin_call const& call, answer_message const& answer, time_point now) {
+    auto const whole = [](double milliseconds) { return std::to_string(std::llround(milliseconds)); };
+    this->context.out.log(log_level::info, "request_ended",
+                          {{"request_id", call.request.request_id},
+                           {"route", call.request.route},
+                           {"service", call.service},
+                           {"organisation", call.request.organisation},
+                           {"code", std::string(describe(answer.code).name)},
+                           {"outcome", std::string(name_of(answer.result))},
+                           {"host", call.host},
+                           {"held_ms", whole((now - call.arrived).milliseconds)},
+                           {"left_ms", whole((call.deadline - now).milliseconds)},
+                           {"attempts_left", std::to_string(call.allowance.left())},
+                           {"configuration", std::to_string(this->context.configuration->revision())}});
+}
+
 void originator::finish(origin_call& call, answer_message&& answer, time_point now) {
     this->context.numbers.count_answer(answer.result, answer.code);
     this->context.numbers.observe(timing::request, now - call.arrived);
     if (this->context.options.wants_spans()) {
         this->context.out.spans.push_back(make_span(call, answer));
     }
+    if (answer.code != result_code::ok) {
+        this->log_ended(call, answer, now);
+    }
     auto reply = this->make_reply(call, std::move(answer), now);
     if (!call.caller_gone) {
         this->answer_door(call.side, std::move(reply));
--- a/libraries/node/originator.hpp
+++ b/libraries/node/originator.hpp
@@ -77,8 +77,8 @@
 
     void begin_root(door_request&& request, route const& matched, std::string const& organisation,
                     time_point now);
-    /// A call of the own target without a token; `parent` is who seems to make it.
-    void begin_inferred(door_request&& request, route const& matched, execution& parent, time_point now);
+    /// A call of the own target without a token; `parent` is who seems to make it, null when that is unknown.
+    void begin_inferred(door_request&& request, route const& matched, execution* parent, time_point now);
     void begin_nested(door_request&& request, route const& matched, execution& parent, time_point now);
     origin_call make_call(door_request&& request, route const& matched, time_point now);
     /// Checks the ticket of a caller's non-idempotent request, or hands one out. False when the call is
@@ -103,6 +103,8 @@
                time_point now);
     void reject(door_request const& request, result_code code, time_point now);
     void refuse(origin_call& call, refusal why, time_point now);
+    /// Tells how a request ended that the target did not answer, with the inputs of the decision.
+    void log_ended(origin_call const& call, answer_message const& answer, time_point now);
     void finish(origin_call& call, answer_message&& answer, time_point now);
     door_answer make_reply(origin_call const& call, answer_message&& answer, time_point now);
     void drop(std::uint64_t id);
--- a/libraries/telemetry/exporter.cpp
+++ b/libraries/telemetry/exporter.cpp
@@ -68,9 +68,13 @@
             last_round = this->stopping;
         }
         std::vector<span> spans;
-        this->records.drain([&spans](record&& value) {
+        auto const now = monotonic_clock::now();
+        this->records.drain([&](record&& value) {
             if (auto* entry = std::get_if<log_entry>(&value)) {
-                return write_log(*entry);
+                if (this->limiter.admit(*entry, now)) {
+                    write_log(*entry);
+                }
+                return;
             }
             spans.push_back(std::move(std::get<span>(value)));
         });
--- a/libraries/telemetry/exporter.hpp
+++ b/libraries/telemetry/exporter.hpp
@@ -3,6 +3,7 @@
 
 #include "base/bounded_ring.hpp"
 #include "telemetry/log.hpp"
+#include "telemetry/log_limiter.hpp"
 #include "telemetry/span.hpp"
 
 #include <atomic>
@@ -47,6 +48,7 @@
 
     exporter_settings options;
     bounded_ring<record> records;
+    log_limiter limiter; ///< Of the writing thread.
     std::mutex mutex;
     std::condition_variable woken;
     bool pending{false};
--- /dev/null
+++ b/tests/platform/registry_source_test.cpp
@@ -0,0 +1,156 @@
+/// Reading and following the registry through lost history, outages and pages.
+
+#include "platform/registry_source.hpp"
+#include "standins/registry_standin.hpp"
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <unistd.h>
+
+using namespace caraway;
+using namespace caraway::registry;
+using caraway::standins::registry_fault;
+using caraway::standins::registry_standin;
+
+namespace {
+
+std::uint16_t next_port() {
+    static std::uint16_t port = static_cast<std::uint16_t>(25'000 + ::getpid() % 1000);
+    return ++port;
+}
+
+QCoreApplication& application() {
+    static int count = 1;
+    static char name[] = "test";
+    static char* arguments[] = {name, nullptr};
+    static QCoreApplication instance(count, arguments);
+    return instance;
+}
+
+std::string entry_text(int number, std::string const& state = "ready") {
+    return R"({"service":"front","address":"10.0.0.)" + std::to_string(number) +
+           R"(:8080","zone":"north","slots":5,"state":")" + state + R"(","seq":1})";
+}
+
+std::string configuration_text(int version) {
+    return R"({"version":)" + std::to_string(version) +
+           R"(,"routes":[],"services":[{"name":"front"}],"tenants":[]})";
+}
+
+/// A registry with three targets, and a source that follows it.
+class followed_registry {
+public:
+    followed_registry() : port(next_port()), registry("127.0.0.1", this->port) {
+        application();
+        this->registry.put("op/config", configuration_text(1));
+        for (int number = 1; number <= 3; ++number) {
+            this->registry.put("servers/i-" + std::to_string(number), entry_text(number));
+        }
+        settings options;
+        options.link = {"127.0.0.1", 7000};
+        options.platform_url = "http://127.0.0.1:" + std::to_string(this->port);
+        this->source = std::make_unique<registry_source>(
+            options, platform_events{.configuration =
+                                         [this](bundle&& content) {
+                                             ++this->configurations;
+                                             this->last = std::move(content);
+                                         },
+                                     .hosts =
+                                         [this](std::string&& text) {
+                                             this->list =
+                                                 attempt_or([&] { return parse_host_list(text); },
+                                                            [](problem const&) { return host_list{}; });
+                                         },
+                                     .failure = [this](std::string const&) { ++this->failures; }});
+        this->source->set_active(true);
+    }
+
+    /// Runs the event loop until the condition holds; false after ten seconds.
+    static bool wait_for(std::function<bool()> const& condition) {
+        QElapsedTimer timer;
+        timer.start();
+        while (!condition()) {
+            if (timer.elapsed() > 10'000) {
+                return false;
+            }
+            QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
+        }
+        return true;
+    }
+
+    std::uint16_t port;
+    registry_standin registry;
+    std::unique_ptr<registry_source> source;
+    host_list list;
+    bundle last;
+    int configurations{0};
+    int failures{0};
+};
+
+} // namespace
+
+TEST_CASE("all pages are read, and changes follow") {
+    followed_registry watched;
+    REQUIRE(watched.wait_for([&] { return watched.list.hosts.size() == 3 && watched.configurations == 1; }));
+    watched.registry.put("servers/i-4", entry_text(4));
+    CHECK(watched.wait_for([&] { return watched.list.hosts.size() == 4; }));
+    watched.registry.put("servers/i-2", entry_text(2, "draining"));
+    CHECK(watched.wait_for(
+        [&] { return std::ranges::count(watched.list.hosts, true, &listed_host::leaving) == 1; }));
+    watched.registry.remove("servers/i-1");
+    CHECK(watched.wait_for([&] { return watched.list.hosts.size() == 3; }));
+    watched.registry.put("servers/i-9", "\x01 not an entry");
+    watched.registry.put("op/config", configuration_text(2));
+    CHECK(watched.wait_for([&] { return watched.configurations == 2; }));
+    CHECK(watched.list.hosts.size() == 3);
+}
+
+TEST_CASE("a heartbeat that says nothing new makes no new list") {
+    followed_registry watched;
+    REQUIRE(watched.wait_for([&] { return watched.list.hosts.size() == 3; }));
+    auto const before = watched.list.revision;
+    watched.registry.put("servers/i-1", entry_text(1));
+    watched.registry.put("op/config", configuration_text(2));
+    REQUIRE(watched.wait_for([&] { return watched.configurations == 2; }));
+    CHECK(watched.list.revision == before);
+}
+
+TEST_CASE("lost history is read anew") {
+    followed_registry watched;
+    REQUIRE(watched.wait_for([&] { return watched.list.hosts.size() == 3; }));
+    watched.registry.set_fault(registry_fault::down);
+    REQUIRE(watched.wait_for([&] { return watched.failures > 0; }));
+    watched.registry.put("servers/i-5", entry_text(5));
+    watched.registry.compact();
+    watched.registry.set_fault(registry_fault::none);
+    CHECK(watched.wait_for([&] { return watched.list.hosts.size() == 4; }));
+}
+
+TEST_CASE("an entry that vanished while the registry was away is not gone at once") {
+    followed_registry watched;
+    REQUIRE(watched.wait_for([&] { return watched.list.hosts.size() == 3; }));
+    watched.registry.set_fault(registry_fault::down);
+    REQUIRE(watched.wait_for([&] { return watched.failures > 2; }));
+    watched.registry.remove("servers/i-1");
+    watched.registry.set_fault(registry_fault::none);
+    watched.registry.put("op/config", configuration_text(2));
+    REQUIRE(watched.wait_for([&] { return watched.configurations == 2; }));
+    CHECK(watched.list.hosts.size() == 3);
+    CHECK(watched.wait_for([&] { return watched.list.hosts.size() == 2; }));
+}
+
+TEST_CASE("a connection that went silent is given up, and a new one serves") {
+    followed_registry watched;
+    REQUIRE(watched.wait_for([&] { return watched.list.hosts.size() == 3; }));
+    watched.registry.set_fault(registry_fault::silent);
+    REQUIRE(watched.wait_for([&] { return watched.failures > 0; }));
+    watched.registry.set_fault(registry_fault::none);
+    watched.registry.put("servers/i-6", entry_text(6));
+    CHECK(watched.wait_for([&] { return watched.list.hosts.size() == 4; }));
+}
--- a/tests/standins/fleet.cpp
+++ b/tests/standins/fleet.cpp
@@ -1,17 +1,16 @@
 #include "standins/fleet.hpp"
 
 #include "base/digest.hpp"
+#include "standins/node_process.hpp"
 
 #include <QJsonDocument>
 #include <QJsonObject>
 
 #include <csignal>
 #include <cstdlib>
-#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
-#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -21,7 +20,6 @@
 namespace {
 
 constexpr auto poll_interval = std::chrono::milliseconds(20);
-constexpr int span_descriptor = 9;
 
 [[noreturn]] void give_up(std::string const& reason) {
     std::cerr << "fleet: " << reason << '\n';
@@ -36,11 +34,6 @@
     return pattern;
 }
 
-std::string node_program() {
-    auto const* path = std::getenv("CARAWAYD");
-    return path == nullptr ? CARAWAYD_PATH : path;
-}
-
 } // namespace
 
 bool wait_until(std::function<bool()> const& condition, std::chrono::milliseconds limit) {
@@ -167,26 +160,9 @@
     this->write_settings(node);
     node.log_path = (this->options.log_folder.empty() ? this->folder : this->options.log_folder) + "/" +
                     node.host.name + ".log";
-    auto const program = node_program();
-    auto const span_path = this->options.span_folder + "/" + node.host.name + ".spans";
-    auto const child = ::fork();
-    if (child == 0) {
-        // No node outlives a test program that was aborted.
-        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-        int const log = ::open(node.log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-        ::dup2(log, STDERR_FILENO);
-        ::dup2(log, STDOUT_FILENO);
-        if (!this->options.span_folder.empty()) {
-            ::dup2(::open(span_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644), span_descriptor);
-        }
-        // The stand-ins' sockets must not stay open in the node.
-        for (int descriptor = span_descriptor + 1; descriptor < 4096; ++descriptor) {
-            ::close(descriptor);
-        }
-        ::execl(program.c_str(), program.c_str(), "--settings", node.settings_path.c_str(), nullptr);
-        ::_exit(127);
-    }
-    node.process = child;
+    auto const span_path =
+        this->options.span_folder.empty() ? "" : this->options.span_folder + "/" + node.host.name + ".spans";
+    node.process = start_node(node.settings_path, node.log_path, span_path);
 }
 
 void fleet::send_signal(std::size_t index, int signal) {
--- /dev/null
+++ b/tests/standins/registry_standin.hpp
@@ -0,0 +1,60 @@
+/// Stands in for the registry of the users' platform: items under keys, read by prefix in pages and watched
+/// by revision.
+#pragma once
+
+#include "standins/http_service.hpp"
+
+#include <QJsonObject>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace caraway::standins {
+
+/// How it misbehaves.
+enum class registry_fault : std::uint8_t { none, down, silent };
+
+class registry_standin {
+public:
+    registry_standin(std::string const& address, std::uint16_t port);
+
+    void put(std::string const& key, std::string value);
+    void remove(std::string const& key);
+    /// Forgets which changes led here; watches from before are answered by 410.
+    void compact();
+    void set_fault(registry_fault wanted) { this->fault = wanted; }
+    std::uint64_t call_count() const { return this->calls; }
+
+private:
+    struct item {
+        std::string value;
+        std::uint64_t revision{0};
+        std::uint64_t created{0};
+    };
+    struct change {
+        std::uint64_t revision{0};
+        std::string key;
+        std::optional<item> now; ///< Empty when it was removed.
+    };
+
+    asio::awaitable<http_response> handle(http_request request);
+    http_response read_key(std::string const& key);
+    http_response read_range(std::string const& prefix, std::string const& after);
+    std::optional<http_response> changes_after(std::string const& prefix, std::uint64_t after);
+    static QJsonObject to_json(std::string const& key, item const& entry);
+
+    std::mutex mutex;
+    std::map<std::string, item> items;
+    std::vector<change> history;
+    std::uint64_t revision{1};
+    std::uint64_t compacted{0};
+    std::atomic<registry_fault> fault{registry_fault::none};
+    std::atomic<std::uint64_t> calls{0};
+    http_service service;
+};
+
+} // namespace caraway::standins
--- /dev/null
+++ b/tests/system/platform_test.cpp
@@ -0,0 +1,251 @@
+/// A request over two nodes on the users' platform: real processes, a registry and targets as stand-ins.
+
+#include "standins/fleet.hpp"
+#include "standins/node_process.hpp"
+#include "standins/registry_standin.hpp"
+#include "standins/test_client.hpp"
+
+#include "base/digest.hpp"
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <mutex>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+using namespace caraway;
+using namespace caraway::standins;
+
+namespace {
+
+constexpr std::uint16_t callers = 7100;
+constexpr std::uint16_t readiness = 7101;
+constexpr std::uint16_t link = 7102;
+constexpr std::uint16_t operators = 7103;
+constexpr std::uint16_t target_side = 7104;
+constexpr std::uint16_t registry_side = 7105;
+
+/// A target that seals its answers and remembers what it was sent. On "/front/" it first calls "/back/"
+/// through its node.
+class sealing_target {
+public:
+    sealing_target(std::string ip_number, std::string instance_name)
+        : ip(std::move(ip_number)), instance(std::move(instance_name)),
+          service(this->ip, target_side,
+                  [this](http_request request) { return this->handle(std::move(request)); }) {}
+
+    std::vector<http_request> seen() {
+        std::lock_guard const guard(this->mutex);
+        return this->requests;
+    }
+
+private:
+    asio::awaitable<http_response> handle(http_request request) {
+        std::string const id(request["Request-Id"]);
+        bool const is_other = request["Target-Instance"] != this->instance;
+        {
+            std::lock_guard const guard(this->mutex);
+            this->requests.push_back(request);
+        }
+        unsigned int status = is_other ? 421 : 200;
+        std::string const path(request.target());
+        if (!is_other && path.starts_with("/front/")) {
+            status = co_await this->call(request) ? 200 : 500;
+        }
+        auto answer = make_response(status, "answer to " + id);
+        answer.set("Request-Id", id);
+        answer.set("Server-Seal", "seal-of-" + this->instance);
+        co_return answer;
+    }
+
+    asio::awaitable<bool> call(http_request const& cause) {
+        asio::ip::tcp::socket socket(this->service.context());
+        co_await socket.async_connect({asio::ip::make_address(this->ip), callers}, asio::use_awaitable);
+        http_request request(http::verb::get, "/back/x", 11);
+        request.set(http::field::host, "shop.example");
+        request.set("Request-Id", std::string(cause["Request-Id"]) + ".1");
+        request.set("Deadline-Ms", std::string(cause["Deadline-Ms"]));
+        co_await http::async_write(socket, request, asio::use_awaitable);
+        boost::beast::flat_buffer buffer;
+        http_response response;
+        co_await http::async_read(socket, buffer, response, asio::use_awaitable);
+        co_return response.result_int() == 200;
+    }
+
+    std::string ip;
+    std::string instance;
+    std::mutex mutex;
+    std::vector<http_request> requests;
+    http_service service;
+};
+
+/// Two hosts, "front" and "back", and their registry.
+class platform_pair {
+public:
+    platform_pair()
+        : registry(this->address(9), registry_side), front(this->address(1), "i-front"),
+          back(this->address(2), "i-back") {
+        std::filesystem::create_directories(this->folder);
+        this->registry.put("op/config", this->configuration());
+        this->list("front", 1);
+        this->list("back", 2);
+        this->start("front", 1);
+        this->start("back", 2);
+    }
+    ~platform_pair() {
+        for (auto const process : this->processes) {
+            ::kill(process, SIGKILL);
+            ::waitpid(process, nullptr, 0);
+        }
+        std::error_code ignored;
+        std::filesystem::remove_all(this->folder, ignored);
+    }
+
+    std::string address(int number) const { return this->prefix + "." + std::to_string(number); }
+
+    bool wait_ready() {
+        return wait_until(
+            [this] {
+                return this->ready(1) && this->ready(2) &&
+                       this->ask(1, "GET", "/front/probe", "k1").status == 200;
+            },
+            std::chrono::seconds(20));
+    }
+    bool ready(int number) {
+        return fetch(this->address(number), readiness, "GET", "/any/path").status == 200;
+    }
+
+    client_answer ask(int number, std::string const& method, std::string const& path, std::string const& key,
+                      header_map more = {}) {
+        more["Host"] = "shop.example";
+        more["Request-Id"] = "r" + std::to_string(++this->asked);
+        more["Deadline-Ms"] = "3000";
+        more["Caller-Service"] = "forged";
+        if (!key.empty()) {
+            more["Key"] = key;
+        }
+        return fetch(this->address(number), callers, method, path, more);
+    }
+
+    void list(std::string const& service, int number, std::string const& instance = "") {
+        auto const id = instance.empty() ? "i-" + service : instance;
+        this->registry.put("servers/" + id, R"({"service":")" + service + R"(","address":")" +
+                                                this->address(number) + ":" + std::to_string(target_side) +
+                                                R"(","zone":"north","slots":5,"state":"ready","seq":1})");
+    }
+    void signal(int number, int which) {
+        ::kill(this->processes.at(static_cast<std::size_t>(number - 1)), which);
+    }
+    bool wait_exit(int number) {
+        auto& process = this->processes.at(static_cast<std::size_t>(number - 1));
+        bool const ended = wait_until([&] { return ::waitpid(process, nullptr, WNOHANG) == process; },
+                                      std::chrono::seconds(10));
+        return ended;
+    }
+
+private:
+    void start(std::string const& service, int number) {
+        auto const ip = this->address(number);
+        auto const path = this->folder + "/" + service + ".toml";
+        auto const at = [&ip](std::uint16_t port) { return "\"" + ip + ":" + std::to_string(port) + "\"\n"; };
+        std::ofstream file(path);
+        file << "[node]\nhost = \"" << ip << "\"\nfailure_domain = \"north\"\nservice = \"" << service
+             << "\"\n[addresses]\ncallers = " << at(callers) << "readiness = " << at(readiness)
+             << "link = " << at(link) << "operators = " << at(operators) << "target = " << at(target_side)
+             << "[platform]\ninterface = \"registry\"\nurl = \"http://" << this->address(9) << ":"
+             << registry_side << "\"\nparameters = \"quota-window-s=5,quota-overage=0.25,quota-slack=20\"\n"
+             << "[link]\nfleet_secret = \"a-secret-shared-by-the-fleet\"\n[limits]\ndrain_ms = 3000\n"
+             << "[control]\ncall_context = \"deadline\"\n";
+        file.close();
+        this->processes.push_back(start_node(path, this->folder + "/" + service + ".log"));
+    }
+
+    std::string configuration() const {
+        return R"({"version":3,"routes":[
+            {"name":"front","host":"shop.example","prefix":"/front/","kind":"safe","timeout-ms":2500,"service":"front",
+             "max-attempts":2,"priority":1},
+            {"name":"pay","host":"shop.example","prefix":"/pay/","kind":"unsafe","timeout-ms":2500,"service":"back",
+             "max-attempts":2,"priority":0},
+            {"name":"back","host":"shop.example","prefix":"/back/","kind":"safe","service":"back","max-attempts":2,
+             "public":true}],
+            "services":[{"name":"front"},{"name":"back"}],
+            "tenants":[{"name":"org","api-keys":["k1"],"rate-per-s":500,"burst":500}]})";
+    }
+
+    std::string prefix{"127." + std::to_string(16 + random_number() % 200) + ".77"};
+    std::string folder{
+        std::filesystem::temp_directory_path() /
+        ("caraway-pair-" + std::to_string(::getpid()) + "-" + std::to_string(random_number() % 100'000))};
+    int asked{0};
+    std::vector<pid_t> processes;
+
+public:
+    registry_standin registry;
+    sealing_target front;
+    sealing_target back;
+};
+
+} // namespace
+
+TEST_CASE("a request and the call of its target pass over two nodes of the users' platform") {
+    platform_pair pair;
+    REQUIRE(pair.wait_ready());
+    // Entered at the host of "back", run at "front", whose target calls "back".
+    auto const answer = pair.ask(2, "GET", "/front/a?b=c", "k1");
+    CHECK(answer.status == 200);
+    CHECK(answer.header("Server-Seal") == "seal-of-i-front");
+    CHECK(answer.body == "answer to " + answer.header("Request-Id"));
+    auto const request = pair.front.seen().back();
+    CHECK(request.target() == "/front/a?b=c");
+    CHECK(request["Host"] == "shop.example");
+    CHECK(request["Tenant"] == "org");
+    CHECK(request["Caller-Service"] == "back");
+    CHECK(request["Target-Instance"] == "i-front");
+    CHECK(request.count("Key") == 0);
+    auto const call = pair.back.seen().back();
+    CHECK(call.target() == "/back/x");
+    CHECK(call["Caller-Service"] == "front");
+    CHECK(call.count("Tenant") == 0);
+}
+
+TEST_CASE("keys, routes and non-idempotent requests on the users' platform") {
+    platform_pair pair;
+    REQUIRE(pair.wait_ready());
+    CHECK(pair.ask(1, "GET", "/front/a", "").status == 401);
+    CHECK(pair.ask(1, "GET", "/front/a", "wrong").status == 401);
+    CHECK(pair.ask(1, "GET", "/nowhere/a", "k1").status == 404);
+    auto const before = pair.back.seen().size();
+    CHECK(pair.ask(1, "POST", "/pay/1", "k1").status == 200);
+    CHECK(pair.back.seen().size() == before + 1);
+    CHECK(pair.back.seen().back()["Tenant"] == "org");
+}
+
+TEST_CASE("another start of a target at the same address is told apart, and its entry is followed") {
+    platform_pair pair;
+    REQUIRE(pair.wait_ready());
+    pair.registry.remove("servers/i-back");
+    pair.list("back", 2, "i-newer");
+    // The stand-in still answers as i-back: nothing of what is meant for i-newer runs, and the status says
+    // so.
+    CHECK(wait_until([&] { return pair.ask(1, "POST", "/pay/2", "k1").status == 503; },
+                     std::chrono::seconds(5)));
+    pair.registry.remove("servers/i-newer");
+    pair.list("back", 2);
+    CHECK(wait_until([&] { return pair.ask(1, "POST", "/pay/3", "k1").status == 200; },
+                     std::chrono::seconds(5)));
+}
+
+TEST_CASE("SIGHUP leaves a node running; SIGTERM makes it unready, serves what comes, and ends in time") {
+    platform_pair pair;
+    REQUIRE(pair.wait_ready());
+    pair.signal(2, SIGHUP);
+    CHECK(pair.ask(2, "GET", "/front/a", "k1").status == 200);
+    pair.signal(2, SIGTERM);
+    CHECK(wait_until([&] { return !pair.ready(2); }, std::chrono::seconds(2)));
+    CHECK(pair.wait_exit(2));
+}
