--- a/tests/standins/test_client.cpp
+++ b/tests/standins/test_client.cpp
@@ -96,7 +96,8 @@
 client_answer test_client::request(std::string const& method, std::string const& path,
                                    header_map const& headers, std::string const& body,
                                    std::chrono::milliseconds timeout) {
-    std::string text = method + " " + path + " HTTP/1.1\r\nHost: test\r\n";
+    std::string text =
+        method + " " + path + " HTTP/1.1\r\n" + (headers.contains("Host") ? "" : "Host: test\r\n");
     for (auto const& [name, value] : headers) {
         text += name + ": " + value + "\r\n";
     }
--- a/tests/system/platform_test.cpp
+++ b/tests/system/platform_test.cpp
@@ -10,6 +10,7 @@
 #include <doctest/doctest.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <mutex>
@@ -103,7 +104,9 @@
             ::waitpid(process, nullptr, 0);
         }
         std::error_code ignored;
-        std::filesystem::remove_all(this->folder, ignored);
+        if (std::getenv("CARAWAY_KEEP_LOGS") == nullptr) {
+            std::filesystem::remove_all(this->folder, ignored);
+        }
     }
 
     std::string address(int number) const { return this->prefix + "." + std::to_string(number); }
--- a/utilities/carawayctl/commands.cpp
+++ b/utilities/carawayctl/commands.cpp
@@ -3,6 +3,7 @@
 #include "base/digest.hpp"
 #include "config/bundle.hpp"
 #include "http_get.hpp"
+#include "request_log.hpp"
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -332,6 +333,67 @@
     return exit_success;
 }
 
+void print_request_lines(std::vector<log_line> const& lines, std::string const& request_id) {
+    for (auto const& line : lines) {
+        std::cout << line.timestamp << "  " << line.event;
+        for (auto const& field : line.fields) {
+            std::cout << ' ' << field.name << '=' << field.value;
+        }
+        std::cout << '\n';
+    }
+    auto const* ending = find_ending(lines, request_id);
+    if (ending == nullptr) {
+        std::cout << "No node ended the request itself; its target answered, or its line was left out.\n";
+        return;
+    }
+    auto const code = ending->field("code");
+    auto const entry = std::ranges::find(result_codes(), code, &result_code_entry::name);
+    std::cout << "Ended by: " << code;
+    if (entry != result_codes().end()) {
+        std::cout << " - " << entry->meaning << ' ' << entry->remedy;
+    }
+    std::cout << '\n';
+}
+
+QJsonDocument request_lines_to_json(std::vector<log_line> const& lines) {
+    QJsonArray rows;
+    for (auto const& line : lines) {
+        QJsonObject row{{"timestamp", text(line.timestamp)}, {"event", text(line.event)}};
+        for (auto const& field : line.fields) {
+            row.insert(text(field.name), text(field.value));
+        }
+        rows.append(row);
+    }
+    return QJsonDocument(rows);
+}
+
+result<int> explain_request(command_line const& line) {
+    auto const& request_id = line.operands.front();
+    std::vector<log_line> lines;
+    if (line.operands.size() == 1) {
+        collect_request_lines(std::cin, request_id, lines);
+    }
+    for (std::size_t index = 1; index < line.operands.size(); ++index) {
+        std::ifstream log(line.operands[index]);
+        if (!log) {
+            return fail(
+                {result_code::configuration_unreadable, "The log can't be read.", line.operands[index]});
+        }
+        collect_request_lines(log, request_id, lines);
+    }
+    if (lines.empty()) {
+        std::cerr << "No line names the request '" << request_id << "'.\n";
+        return exit_problem;
+    }
+    sort_by_time(lines);
+    if (line.json) {
+        print_json(request_lines_to_json(lines));
+    } else {
+        print_request_lines(lines, request_id);
+    }
+    return exit_success;
+}
+
 constexpr auto commands = std::to_array<command_entry>({
     {"check", "DIR", 1, "merge the folder and report the first mistake with file and line", check},
     {"bundle", "DIR", 1, "print the values to publish as JSON; needs --revision", bundle_command},
@@ -339,6 +401,8 @@
     {"status", "IP:PORT", 1, "print a node's status from its operators' address; fails unless it is ready",
      status},
     {"trace", "ID FILE...", 2, "print the call tree of a trace or request id from span files", trace},
+    {"explain-request", "ID [LOG...]", 1,
+     "print what the nodes' logs, or standard input, say of a request and its calls", explain_request},
     {"explain", "CODE", 1, "explain a result code, by number or name", explain},
     {"codes", "", 0, "print the table of result codes as Markdown", codes},
     {"settings", "", 0, "print the table of all settings as Markdown", settings_reference},
