config: Leave out an organisation's rank, which decided nothing, and refuse two hosts

A setting that is documented and has no effect misleads. What is read for later (latency objective, warm-up) says so with a FIXME. A request with two Host fields could be read as two requests; it is refused like one with two lengths.

--- a/libraries/config/configuration.cpp
+++ b/libraries/config/configuration.cpp
@@ -132,8 +132,7 @@
                            fields, "rate");
         }
         this->organisation_table[name] = {name, number_or(fields, "rate", 0), number_or(fields, "burst", 1),
-                                          number_or(fields, "weight", 1),
-                                          static_cast<int>(number_or(fields, "rank", 0))};
+                                          number_or(fields, "weight", 1)};
     }
     return {};
 }
--- a/libraries/config/configuration.hpp
+++ b/libraries/config/configuration.hpp
@@ -23,7 +23,6 @@
     double rate{0};  ///< Requests per second over the whole fleet; 0 when unlimited.
     double burst{0}; ///< Requests.
     double weight{1};
-    int rank{0}; ///< The requests of greater ranks are shed first.
 
     bool is_limited() const { return this->rate > 0; }
 };
@@ -42,13 +41,14 @@
 
 struct route {
     std::string name;
-    std::string method;             ///< Empty: all methods.
-    std::string authority;          ///< Host name that callers ask for; empty: any.
-    std::string path;               ///< Prefix in whole segments.
-    std::string service;            ///< Of a split route the first part's.
-    std::vector<split_part> split;  ///< Empty when one service runs all.
-    bool tickets{true};             ///< Whether a non-idempotent request needs a ticket.
-    double latency_objective_ms{0}; ///< 0 when none is set.
+    std::string method;            ///< Empty: all methods.
+    std::string authority;         ///< Host name that callers ask for; empty: any.
+    std::string path;              ///< Prefix in whole segments.
+    std::string service;           ///< Of a split route the first part's.
+    std::vector<split_part> split; ///< Empty when one service runs all.
+    bool tickets{true};            ///< Whether a non-idempotent request needs a ticket.
+    /// 0 when none is set. FIXME: Order the queue by the time left until it, and give up what can't meet it.
+    double latency_objective_ms{0};
     bool idempotent{true};
     bool open{false};
     priority_class priority{priority_class::normal};
--- a/libraries/config/schema.cpp
+++ b/libraries/config/schema.cpp
@@ -16,8 +16,6 @@
      "Sustained rate over the whole fleet; without one nothing is limited."},
     {"organisations", "burst", number, 1, max_rate, false, "requests",
      "Requests that may come at once; needed beside a rate."},
-    {"organisations", "rank", number, 0, 100, false, "",
-     "Of organisations with different ranks, the greater one's requests are shed first."},
     {"organisations", "weight", number, 0.001, 1000, false, "", "Share under overload, against the others."},
     {"keys", "organisation", text, 1, max_name, true, "", "Whose key it is."},
     {"keys", "sha256", text, 64, 64, true, "", "SHA-256 of the key, 64 lower-case hexadecimal digits."},
@@ -38,7 +36,7 @@
      "Whether a non-idempotent request needs a ticket; without one it is sent once, and again only when the "
      "executing host says that it has not run."},
     {"routes", "latency_objective_ms", number, 1, 600'000, false, "ms",
-     "An answer after this is worth less to the caller."},
+     "An answer after this is worth less to the caller; read, not used for a decision yet."},
     {"routes", "retry_allowance", number, 0, 10, false, "attempts",
      "Further attempts for the whole call tree."},
     {"routes", "deadline_ms", number, 1, 600'000, false, "ms", "Longest time a request may take."},
--- a/libraries/http/door_session.cpp
+++ b/libraries/http/door_session.cpp
@@ -125,10 +125,12 @@
     auto request = this->parser->release();
     bool const keeps = request.keep_alive();
     bool const is_head = request.method() == http::verb::head;
-    // Two lengths, or a length beside chunks, let two readers see two different requests.
+    // Two lengths, or a length beside chunks, let two readers see two different requests; so do two keys or
+    // hosts.
     bool const ambiguous = request.count(http::field::content_length) > 1 ||
                            (request.count(http::field::content_length) > 0 && request.chunked());
-    if (ambiguous || request.count(dialect.key) > 1) {
+    bool const is_doubled = request.count(dialect.key) > 1 || request.count(http::field::host) > 1;
+    if (ambiguous || is_doubled) {
         return this->answer_problem(result_code::request_malformed, false, is_head);
     }
     auto converted = convert(std::move(request), dialect);
--- a/libraries/node/host_list.hpp
+++ b/libraries/node/host_list.hpp
@@ -16,7 +16,9 @@
     bool leaving{false};
     std::string instance; ///< Names this start of the target; empty when the list does not tell.
     int slots{0};         ///< Requests that its target runs at once; 0 when the list does not tell.
-    double warm_up_ms{0}; ///< How long the target was still cold when the entry was written.
+    /// How long the target was still cold when the entry was written.
+    /// FIXME: Give a cold target less work than the chooser's own slow start does.
+    double warm_up_ms{0};
 
     bool operator==(listed_host const&) const = default;
 };
--- a/tests/http/pipeline_test.cpp
+++ b/tests/http/pipeline_test.cpp
@@ -48,6 +48,10 @@
         this->served.answer({.id = this->ids.at(index), .status = 200, .body = std::move(body)});
     }
     void drain() { this->served.drain(); }
+    bool has_requests() {
+        std::lock_guard const guard(this->mutex);
+        return !this->ids.empty();
+    }
 
     std::uint16_t port;
 
@@ -120,3 +124,11 @@
     }
     CHECK(client.read_answer().status == 413);
 }
+
+TEST_CASE("a request that names two hosts is refused and reaches nobody") {
+    wide_door entry;
+    test_client client("127.0.0.1", entry.port);
+    REQUIRE(client.send_raw("GET /a HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n"));
+    CHECK(client.read_answer().status == 400);
+    CHECK_FALSE(entry.has_requests());
+}
