platform: Record that a source that was cut off brings targets back

Cause, by the log of sidecar-arusha-b-1: the entry vanished at 24.12 s and the list without it was in force at 24.17 s; at 25.55 s a node that read the registry anew after lost history held it over and published it under revision 49.

--- a/tests/platform/registry_source_test.cpp
+++ b/tests/platform/registry_source_test.cpp
@@ -1,6 +1,7 @@
 /// Reading and following the registry through lost history, outages and pages.
 
 #include "platform/registry_source.hpp"
+#include "standins/fault_proxy.hpp"
 #include "standins/registry_standin.hpp"
 
 #include <QCoreApplication>
@@ -154,3 +155,34 @@
     watched.registry.put("servers/i-6", entry_text(6));
     CHECK(watched.wait_for([&] { return watched.list.hosts.size() == 4; }));
 }
+
+TEST_CASE("a source that was cut off brings no target back that left while others followed the registry") {
+    followed_registry watched;
+    standins::fault_proxy way("127.0.0.1", next_port(), "127.0.0.1", watched.port);
+    settings options;
+    options.link = {"127.0.0.1", 7000};
+    options.platform_url = "http://127.0.0.1:" + std::to_string(watched.port + 1);
+    host_list late;
+    int failures = 0;
+    registry_source cut_off(options, platform_events{.configuration = [](bundle&&) {},
+                                                     .hosts =
+                                                         [&](std::string&& text) {
+                                                             late = attempt_or(
+                                                                 [&] { return parse_host_list(text); },
+                                                                 [](problem const&) { return host_list{}; });
+                                                         },
+                                                     .failure = [&](std::string const&) { ++failures; }});
+    cut_off.set_active(true);
+    REQUIRE(watched.wait_for([&] { return watched.list.hosts.size() == 3 && late.hosts.size() == 3; }));
+    way.set_fault(standins::link_fault::cut, [](std::string const&) { return true; });
+    REQUIRE(watched.wait_for([&] { return failures > 2; }));
+    watched.registry.remove("servers/i-1");
+    REQUIRE(watched.wait_for([&] { return watched.list.hosts.size() == 2; }));
+    watched.registry.put("op/config", configuration_text(2));
+    watched.registry.compact();
+    auto const before = late.revision;
+    way.clear();
+    REQUIRE(watched.wait_for([&] { return late.revision > before; }));
+    // A list of a higher revision is taken by every node, so it must not name what left.
+    CHECK(late.hosts.size() == 2);
+}
