tests: Open doors in one place, and end no process number that was given back

Read over the whole change. platform_test killed a node's number again after it had been reaped, when it may belong to another process. Three tests opened a door each in its own copy of the same lines. No behaviour changes, no check is touched.

Left: the scripted target of dialect_test and the closing one of target_client_test share their accept loop.

--- a/libraries/config/settings.cpp
+++ b/libraries/config/settings.cpp
@@ -97,10 +97,6 @@
     return mode_names.at(static_cast<std::size_t>(value));
 }
 
-std::string_view name_of(call_context value) {
-    return call_context_names.at(static_cast<std::size_t>(value));
-}
-
 result<endpoint> parse_endpoint(std::string const& text) {
     auto const colon = text.rfind(':');
     unsigned int port = 0;
--- a/libraries/config/settings.hpp
+++ b/libraries/config/settings.hpp
@@ -39,8 +39,6 @@
     deadline, ///< No token comes: a call ends when the request it is made for ends, which hints at that one.
 };
 
-std::string_view name_of(call_context value);
-
 struct settings {
     std::string host;
     std::string failure_domain;
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -1,7 +1,6 @@
 #include "node/executor.hpp"
 
 #include "base/digest.hpp"
-#include "http/header_rules.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/libraries/policy/local_rate_share.cpp
+++ b/libraries/policy/local_rate_share.cpp
@@ -16,7 +16,6 @@
 /// Of its even share, what a host that starts may use. Hosts that start bring no pools with them, so that a
 /// part of the fleet starting adds less than this part of its own shares.
 constexpr double starting_part = 0.8;
-constexpr duration longest_wait{60'000};
 
 } // namespace
 
@@ -77,15 +76,4 @@
     return true;
 }
 
-duration local_rate_share::wait(std::string const& organisation, time_point now) {
-    auto const found = this->buckets.find(organisation);
-    bool const never = found == this->buckets.end() || found->second.rate <= 0 || found->second.capacity < 1;
-    if (never) {
-        return longest_wait;
-    }
-    this->fill(found->second, now);
-    double const missing = std::max(0.0, 1 - found->second.level);
-    return std::min(longest_wait, duration{missing / found->second.rate * 1000});
-}
-
 } // namespace caraway
--- a/libraries/policy/local_rate_share.hpp
+++ b/libraries/policy/local_rate_share.hpp
@@ -47,9 +47,6 @@
     /// Takes one request's worth; false when the bucket has less.
     bool take(std::string const& organisation, time_point now);
 
-    /// Time until `take` would succeed; the greatest span when it never would.
-    duration wait(std::string const& organisation, time_point now);
-
 private:
     struct bucket {
         double rate{0};
--- a/tests/http/dialect_test.cpp
+++ b/tests/http/dialect_test.cpp
@@ -2,6 +2,7 @@
 /// integrity field.
 
 #include "http/door.hpp"
+#include "http/open_or_fail.hpp"
 #include "http/target_client.hpp"
 #include "standins/test_client.hpp"
 
@@ -168,15 +169,7 @@
                           return true;
                       },
                   .hang_up = [](std::uint64_t) {}}) {
-        attempt_or(
-            [&]() -> result<bool> {
-                BOOST_LEAF_CHECK(this->served.open());
-                return true;
-            },
-            [](problem const& cause) -> bool {
-                FAIL(to_text(cause));
-                return false;
-            });
+        tests::open_or_fail(this->served);
     }
 
     std::uint16_t port;
--- a/tests/http/door_test.cpp
+++ b/tests/http/door_test.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.hpp"
 #include "http/door.hpp"
+#include "http/open_or_fail.hpp"
 #include "standins/test_client.hpp"
 #include "support/resident_memory.hpp"
 
@@ -33,15 +34,7 @@
 class open_door {
 public:
     open_door() : port(next_port()), served(this->make_settings(), this->make_events()) {
-        attempt_or(
-            [&]() -> result<bool> {
-                BOOST_LEAF_CHECK(this->served.open());
-                return true;
-            },
-            [](problem const& cause) -> bool {
-                FAIL(to_text(cause));
-                return false;
-            });
+        tests::open_or_fail(this->served);
     }
 
     bool wait_for_requests(std::size_t count) {
--- a/tests/http/pipeline_test.cpp
+++ b/tests/http/pipeline_test.cpp
@@ -1,6 +1,7 @@
 /// Requests sent behind each other on one connection run together and are answered in order.
 
 #include "http/door.hpp"
+#include "http/open_or_fail.hpp"
 #include "standins/test_client.hpp"
 
 #include <doctest/doctest.h>
@@ -28,15 +29,7 @@
           served({.address = "127.0.0.1", .port = this->port, .max_pipeline = 4},
                  {.request = [this](door_request&& request) { return this->take(std::move(request)); },
                   .hang_up = [this](std::uint64_t) { this->note_hang_up(); }}) {
-        attempt_or(
-            [&]() -> result<bool> {
-                BOOST_LEAF_CHECK(this->served.open());
-                return true;
-            },
-            [](problem const& cause) -> bool {
-                FAIL(to_text(cause));
-                return false;
-            });
+        tests::open_or_fail(this->served);
     }
 
     bool wait_for(std::size_t requests, std::size_t hang_ups = 0) {
--- a/tests/system/platform_test.cpp
+++ b/tests/system/platform_test.cpp
@@ -100,8 +100,10 @@
     }
     ~platform_pair() {
         for (auto const process : this->processes) {
-            ::kill(process, SIGKILL);
-            ::waitpid(process, nullptr, 0);
+            if (process > 0) {
+                ::kill(process, SIGKILL);
+                ::waitpid(process, nullptr, 0);
+            }
         }
         std::error_code ignored;
         if (std::getenv("CARAWAY_KEEP_LOGS") == nullptr) {
@@ -148,6 +150,8 @@
         auto& process = this->processes.at(static_cast<std::size_t>(number - 1));
         bool const ended = wait_until([&] { return ::waitpid(process, nullptr, WNOHANG) == process; },
                                       std::chrono::seconds(10));
+        // The number may belong to another process from now on.
+        process = ended ? 0 : process;
         return ended;
     }
 
