platform: Mark what a host list holds over, so that no node takes back what left

Cause: after a whole read the source holds over entries that vanished while it was away, since an outage of the registry lets entries expire. It published them under the page's higher revision, so every node took back targets that others had seen leave; and when the time was over it published the shorter list under the same revision, which no node takes. Ruled out: a late drain at the target's own node (its list named it). Change: a list marks such hosts as unconfirmed; a node keeps them only where its list in force names the same start.

--- a/libraries/node/host_list.cpp
+++ b/libraries/node/host_list.cpp
@@ -8,6 +8,8 @@
 #include <QJsonObject>
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_map>
 
 namespace caraway {
 
@@ -35,6 +37,9 @@
     if (entry.warm_up_ms > 0) {
         object.insert("warm_up_ms", entry.warm_up_ms);
     }
+    if (entry.unconfirmed) {
+        object.insert("unconfirmed", true);
+    }
     return object;
 }
 
@@ -46,7 +51,8 @@
                       .leaving = object.value("state").toString() == "leaving",
                       .instance = object.value("instance").toString().toStdString(),
                       .slots = std::max(0, object.value("slots").toInt()),
-                      .warm_up_ms = std::max(0.0, object.value("warm_up_ms").toDouble())};
+                      .warm_up_ms = std::max(0.0, object.value("warm_up_ms").toDouble()),
+                      .unconfirmed = object.value("unconfirmed").toBool()};
     BOOST_LEAF_CHECK(parse_endpoint(entry.link));
     bool const named = !entry.host.empty() && entry.host.size() <= max_name &&
                        !entry.failure_domain.empty() && !entry.service.empty();
@@ -82,6 +88,23 @@
     return list;
 }
 
+std::vector<listed_host> hosts_to_use(std::vector<listed_host> const& in_force, host_list const& newer) {
+    auto used = newer.hosts;
+    if (in_force.empty()) {
+        return used;
+    }
+    std::unordered_map<std::string_view, std::string_view> instances;
+    for (auto const& entry : in_force) {
+        instances[entry.host] = entry.instance;
+    }
+    std::erase_if(used, [&](listed_host const& entry) {
+        auto const held = instances.find(entry.host);
+        bool const is_in_force = held != instances.end() && held->second == entry.instance;
+        return entry.unconfirmed && !is_in_force;
+    });
+    return used;
+}
+
 std::string host_list_to_json(host_list const& list) {
     QJsonArray rows;
     for (auto const& entry : list.hosts) {
--- a/libraries/node/host_list.hpp
+++ b/libraries/node/host_list.hpp
@@ -19,6 +19,9 @@
     /// How long the target was still cold when the entry was written.
     /// FIXME: Give a cold target less work than the chooser's own slow start does.
     double warm_up_ms{0};
+    /// The platform no longer names the host, but its entry may only have expired while the platform was
+    /// away. Such a host stays where it is in force and comes back nowhere else.
+    bool unconfirmed{false};
 
     bool operator==(listed_host const&) const = default;
 };
@@ -29,9 +32,13 @@
 };
 
 /// Reads the platform's JSON: {"revision":"N","hosts":[{"host":..,"failure_domain":..,"service":..,"link":..,
-/// "state":"live"|"leaving"}]}.
+/// "state":"live"|"leaving"}]}. Further fields that a platform may tell have the names of `listed_host`.
 result<host_list> parse_host_list(std::string const& text);
 
+/// The hosts that come into force with a list: all that it confirms, and of the others those that are in
+/// force already. A node without a list yet takes all.
+std::vector<listed_host> hosts_to_use(std::vector<listed_host> const& in_force, host_list const& newer);
+
 /// The inverse.
 std::string host_list_to_json(host_list const& list);
 
--- /dev/null
+++ b/tests/node/host_list_test.cpp
@@ -0,0 +1,53 @@
+/// Which hosts come into force with a list that is not sure of all of them.
+#include "node/host_list.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace caraway;
+
+namespace {
+
+listed_host host(std::string const& name, std::string const& instance = "i-1") {
+    return {.host = name,
+            .failure_domain = "north",
+            .service = "front",
+            .link = "10.0.0.1:7000",
+            .instance = instance};
+}
+
+listed_host unconfirmed(listed_host entry) {
+    entry.unconfirmed = true;
+    return entry;
+}
+
+bool names(std::vector<listed_host> const& hosts, std::string const& name) {
+    return std::ranges::find(hosts, name, &listed_host::host) != hosts.end();
+}
+
+} // namespace
+
+TEST_CASE("a host that a list does not confirm stays where it is in force and comes back nowhere else") {
+    host_list const newer{.revision = 7, .hosts = {host("10.0.0.1"), unconfirmed(host("10.0.0.2"))}};
+    CHECK(names(hosts_to_use({host("10.0.0.1"), host("10.0.0.2")}, newer), "10.0.0.2"));
+    CHECK_FALSE(names(hosts_to_use({host("10.0.0.1")}, newer), "10.0.0.2"));
+    SUBCASE("another start of the target at the same address is not the one in force") {
+        CHECK_FALSE(names(hosts_to_use({host("10.0.0.1"), host("10.0.0.2", "i-9")}, newer), "10.0.0.2"));
+    }
+    SUBCASE("a node that has no list yet takes all") {
+        CHECK(names(hosts_to_use({}, newer), "10.0.0.2"));
+    }
+}
+
+TEST_CASE("a list keeps what it does not confirm apart on its way through the fleet") {
+    host_list const sent{.revision = 7, .hosts = {host("10.0.0.1"), unconfirmed(host("10.0.0.2"))}};
+    auto const read = attempt_or(
+        [&]() -> result<host_list> {
+            BOOST_LEAF_AUTO(parsed, parse_host_list(host_list_to_json(sent)));
+            return compile_host_list(cut_host_list(parsed));
+        },
+        [](problem const&) { return host_list{}; });
+    REQUIRE(read.hosts.size() == 2);
+    CHECK(std::ranges::is_permutation(read.hosts, sent.hosts));
+}
