--- /dev/null
+++ b/tests/node/fleet_promises_test.cpp
@@ -0,0 +1,210 @@
+/// What callers and targets are promised, checked on a fleet of deciding cores in simulated time.
+
+#include "node/simulated_fleet.hpp"
+#include "support/property.hpp"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+using namespace caraway;
+using namespace caraway::simulation;
+
+namespace {
+
+/// After its deadline a request is answered within this span, whatever happens (bound of the platform's
+/// rules).
+constexpr duration answer_slack{500};
+constexpr double caller_timeout_ms = 1000;
+
+/// One front service whose runs call a back service.
+fleet_plan two_layers(double fault_share = 0) {
+    return plan_with(
+        {{.name = "front", .hosts = 4, .slots = 8, .work = duration{10}, .calls = "back"},
+         {.name = "back", .hosts = 4, .slots = 4, .work = duration{20}, .fault_share = fault_share}});
+}
+
+enum class trouble : std::uint8_t { none, kill, restart, pause, cut, terminate, unlist };
+constexpr int trouble_count = 7;
+
+void act(simulated_fleet& fleet, trouble kind, std::string const& host) {
+    switch (kind) {
+    case trouble::none:
+        return;
+    case trouble::kill:
+        return fleet.kill(host);
+    case trouble::restart:
+        return fleet.restart(host);
+    case trouble::pause:
+        return fleet.pause(host, duration{1500});
+    case trouble::cut:
+        return fleet.cut(host, duration{1500});
+    case trouble::terminate:
+        return fleet.is_alive(host) ? fleet.terminate(host) : void();
+    case trouble::unlist: {
+        auto left = fleet.listed();
+        std::erase_if(left, [&](listed_host const& entry) { return entry.host == host; });
+        return fleet.publish_hosts(std::move(left));
+    }
+    }
+}
+
+/// Requests that a host took and that are not answered in time; hosts that died, froze or were cut are left
+/// out.
+int unanswered(simulated_fleet const& fleet, std::vector<std::string> const& asked) {
+    int missing = 0;
+    for (auto const& id : asked) {
+        auto const& told = fleet.answers().at(id);
+        auto const limit = told.sent + duration{caller_timeout_ms} + answer_slack;
+        missing += (!told.answered || *told.answered > limit) ? 1 : 0;
+    }
+    return missing;
+}
+
+} // namespace
+
+TEST_CASE("a calm fleet serves every request once, over both layers") {
+    simulated_fleet fleet(two_layers());
+    std::vector<std::string> asked;
+    fleet.run_for(duration{2000}, [&, step = 0]() mutable {
+        if (++step % 20 == 0) {
+            asked.push_back(
+                fleet.ask(fleet.hosts().at(static_cast<std::size_t>(step / 20) % 8), "/front/write"));
+        }
+    });
+    fleet.run_for(duration{1500});
+    REQUIRE(asked.size() == 100);
+    for (auto const& id : asked) {
+        CHECK(fleet.answers().at(id).result == outcome::ran);
+        CHECK(fleet.runs_of(id) == 1);
+    }
+}
+
+TEST_CASE(
+    "under any troubles nothing runs twice, 'not run' is true, and no target is given more than its slots") {
+    tests::check_property(
+        "promises",
+        [] {
+            auto const plan = *rc::gen::container<std::vector<std::tuple<int, int, int>>>(rc::gen::tuple(
+                rc::gen::inRange(0, trouble_count), rc::gen::inRange(0, 8), rc::gen::inRange(50, 900)));
+            auto fleet_of = two_layers(*rc::gen::inRange(0, 30) / 100.0);
+            fleet_of.seed = *rc::gen::arbitrary<std::uint64_t>();
+            simulated_fleet fleet(fleet_of);
+            auto const gap = *rc::gen::inRange(2, 20);
+            std::vector<std::string> asked;
+            auto const load = [&, step = 0]() mutable {
+                if (++step % gap == 0) {
+                    auto const host = fleet.hosts().at(static_cast<std::size_t>(step / gap) % 8);
+                    auto const id =
+                        fleet.ask(host, step % 3 == 0 ? "/back/write" : "/front/write", caller_timeout_ms);
+                    if (!id.empty()) {
+                        asked.push_back(id);
+                    }
+                }
+            };
+            for (auto const& [kind, host, pause] : plan) {
+                act(fleet, static_cast<trouble>(kind), fleet.hosts().at(static_cast<std::size_t>(host)));
+                fleet.run_for(duration{static_cast<double>(pause)}, load);
+            }
+            fleet.run_for(duration{3000});
+            RC_ASSERT(fleet.most_over_slots() <= 0);
+            for (auto const& id : asked) {
+                auto const& told = fleet.answers().at(id);
+                RC_ASSERT(fleet.runs_of(id) <= 1U);
+                bool const said_not_run = told.answered && told.result == outcome::not_run;
+                RC_ASSERT(!said_not_run || fleet.runs_of(id) == 0U);
+            }
+        },
+        60);
+}
+
+TEST_CASE(
+    "a host that is told to leave answers all that it took, and refuses at once what it takes too late") {
+    auto plan = two_layers();
+    plan.drain_ms = 5000;
+    simulated_fleet fleet(plan);
+    auto const leaving = fleet.hosts_of("front").front();
+    std::vector<std::string> asked;
+    auto const load = [&, step = 0]() mutable {
+        if (++step % 10 == 0 && fleet.is_alive(leaving)) {
+            asked.push_back(
+                fleet.ask(leaving, step % 20 == 0 ? "/back/write" : "/front/write", caller_timeout_ms));
+        }
+    };
+    fleet.run_for(duration{500}, load);
+    fleet.terminate(leaving);
+    auto const told_to_leave = fleet.now();
+    fleet.run_for(duration{3900}, load);
+    // Callers were told for two seconds already; what still comes has a last second before the process ends.
+    fleet.run_for(duration{2000});
+    CHECK(asked.size() > 400);
+    CHECK(unanswered(fleet, asked) == 0);
+    int refused_early = 0;
+    for (auto const& id : asked) {
+        auto const& told = fleet.answers().at(id);
+        bool const is_early = told.sent < told_to_leave + duration{2000};
+        refused_early += is_early && told.result != outcome::ran ? 1 : 0;
+        if (told.sent >= told_to_leave + duration{2500}) {
+            CHECK(told.result == outcome::not_run);
+            CHECK(told.answered.value_or(time_point{}) - told.sent < duration{50});
+        }
+    }
+    CHECK(refused_early == 0);
+}
+
+TEST_CASE("a host whose target left the list without a word gives it no further work") {
+    simulated_fleet fleet(two_layers());
+    auto const gone = fleet.hosts_of("back").front();
+    auto const load = [&, step = 0]() mutable {
+        if (++step % 4 == 0) {
+            fleet.ask(fleet.hosts().at(static_cast<std::size_t>(step / 4) % 8), "/back/read",
+                      caller_timeout_ms);
+        }
+    };
+    fleet.run_for(duration{1000}, load);
+    act(fleet, trouble::unlist, gone);
+    auto const unlisted = fleet.now();
+    fleet.run_for(duration{3000}, load);
+    int late = 0;
+    for (auto const& run : fleet.runs()) {
+        // A list is in force everywhere within some hundred milliseconds; the platform allows two seconds.
+        late += run.host == gone && run.started > unlisted + duration{1000} ? 1 : 0;
+    }
+    CHECK(late == 0);
+    CHECK(std::ranges::any_of(
+        fleet.runs(), [&](target_run const& run) { return run.host == gone && run.started < unlisted; }));
+}
+
+TEST_CASE("callers that hang up leave no work behind") {
+    auto plan = two_layers();
+    plan.services.back().work = duration{600};
+    simulated_fleet fleet(plan);
+    std::vector<std::string> asked;
+    for (int number = 0; number < 8; ++number) {
+        asked.push_back(fleet.ask(fleet.hosts().at(static_cast<std::size_t>(number)), "/back/read"));
+    }
+    fleet.run_for(duration{100});
+    auto const gone = fleet.now();
+    for (auto const& id : asked) {
+        fleet.hang_up(id);
+    }
+    fleet.run_for(duration{2000});
+    for (auto const& run : fleet.runs()) {
+        CHECK(run.ended.value_or(gone + duration{9999}) - gone < duration{500});
+    }
+}
+
+TEST_CASE("repeats stay a small part of the calls when every answer of a service may be lost") {
+    simulated_fleet fleet(two_layers(0.6));
+    int asked = 0;
+    fleet.run_for(duration{8000}, [&, step = 0]() mutable {
+        if (++step % 4 == 0) {
+            ++asked;
+            fleet.ask(fleet.hosts().at(static_cast<std::size_t>(step / 4) % 8), "/back/read",
+                      caller_timeout_ms);
+        }
+    });
+    fleet.run_for(duration{2000});
+    // Five in a hundred, and two that each host may make before it has seen any traffic.
+    CHECK(static_cast<double>(fleet.runs().size()) <= asked * 1.05 + 2 * 8);
+}
--- /dev/null
+++ b/tests/node/simulated_fleet.cpp
@@ -0,0 +1,517 @@
+#include "node/simulated_fleet.hpp"
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+namespace caraway::simulation {
+
+namespace {
+
+constexpr duration step_span{1};
+constexpr duration tick_interval{4};
+constexpr duration link_delay{1};
+constexpr std::uint16_t link_port = 7000;
+constexpr std::string_view egress_prefix = "below-";
+
+std::string link_address(std::string const& host) {
+    return host + ":" + std::to_string(link_port);
+}
+
+template <typename Value>
+Value value_or_throw(result<Value> (*make)(item_set const&, std::uint64_t), item_set const& items,
+                     std::uint64_t revision) {
+    return attempt_or([&] { return make(items, revision); },
+                      [](problem const& cause) -> Value { throw std::logic_error(to_text(cause)); });
+}
+
+} // namespace
+
+struct simulated_fleet::link_end {
+    std::string peer;
+    connection_id peer_connection{0};
+};
+
+struct simulated_fleet::node {
+    settings options;
+    fleet_plan::target_service service;
+    std::unique_ptr<node_core> core;
+    std::map<connection_id, link_end> links;
+    connection_id next_accepted{connection_id{1} << 63U};
+    std::map<std::uint64_t, std::size_t> running; ///< Request id at the target to its run.
+    std::vector<core_event> held;                 ///< What came while the process was paused.
+    time_point next_tick;
+    time_point paused_until;
+    time_point cut_until;
+    std::optional<time_point> stops_at;
+    std::uint64_t incarnation{0};
+    bool serving{false};
+};
+
+struct simulated_fleet::delivery {
+    std::string host;
+    std::uint64_t incarnation{0};
+    std::function<void(node&)> act;
+};
+
+fleet_plan plan_with(std::vector<fleet_plan::target_service> services) {
+    fleet_plan plan{.services = std::move(services)};
+    for (auto const& entry : plan.services) {
+        plan.configuration["services"][entry.name]["connections"] = {.value = 1000.0};
+        for (auto const* kind : {"read", "write"}) {
+            auto& route = plan.configuration["routes"][entry.name + "-" + kind];
+            route["path"] = {.value = "/" + entry.name + "/" + kind};
+            route["service"] = {.value = entry.name};
+            route["idempotent"] = {.value = kind == std::string("read")};
+            route["tickets"] = {.value = false};
+            route["open"] = {.value = true};
+            route["class"] = {.value = std::string("normal")};
+            route["retry_allowance"] = {.value = 2.0};
+            route["deadline_ms"] = {.value = 2000.0};
+        }
+    }
+    return plan;
+}
+
+simulated_fleet::simulated_fleet(fleet_plan wanted) : plan(std::move(wanted)), random(plan.seed) {
+    int number = 0;
+    for (auto const& service : this->plan.services) {
+        for (int index = 0; index < service.hosts; ++index) {
+            auto entry = std::make_unique<node>();
+            auto const host = "10.0.0." + std::to_string(++number);
+            auto const& domain =
+                this->plan.domains.at(static_cast<std::size_t>(index) % this->plan.domains.size());
+            entry->service = service;
+            entry->options.host = host;
+            entry->options.failure_domain = domain;
+            entry->options.service = service.name;
+            entry->options.link = {host, link_port};
+            entry->options.fleet_secret = "simulation";
+            entry->options.rate_shards = 1;
+            entry->options.drain_ms = this->plan.drain_ms;
+            entry->options.calls = this->plan.calls;
+            this->list.hosts.push_back({.host = host,
+                                        .failure_domain = domain,
+                                        .service = service.name,
+                                        .link = link_address(host),
+                                        .instance = "i-" + std::to_string(number),
+                                        .slots = service.slots});
+            this->nodes.emplace(host, std::move(entry));
+        }
+    }
+    this->list.revision = this->revision;
+    this->configuration = value_or_throw(make_bundle, this->plan.configuration, this->revision);
+    for (auto& [host, entry] : this->nodes) {
+        this->start(*entry);
+    }
+    this->run_for(duration{3000});
+}
+
+simulated_fleet::~simulated_fleet() = default;
+
+void simulated_fleet::start(node& entry) {
+    entry.incarnation = this->next_incarnation++;
+    entry.core = std::make_unique<node_core>(
+        entry.options, platform_traits{.is_current = true, .rates = this->plan.tolerance}, entry.incarnation,
+        rights_timing{}, this->clock);
+    entry.next_tick = this->clock;
+    entry.paused_until = {};
+    entry.stops_at.reset();
+    entry.serving = false;
+    this->offer_documents(entry);
+}
+
+void simulated_fleet::offer_documents(node& entry) {
+    this->feed(entry, platform_event{document_kind::configuration, this->configuration});
+    this->feed(entry, platform_event{document_kind::hosts, cut_host_list(this->list)});
+}
+
+void simulated_fleet::publish_hosts(std::vector<listed_host> hosts) {
+    this->list = {++this->revision, std::move(hosts)};
+    for (auto& [host, entry] : this->nodes) {
+        if (entry->core != nullptr && !this->is_cut(*entry)) {
+            this->feed(*entry, platform_event{document_kind::hosts, cut_host_list(this->list)});
+        }
+    }
+}
+
+void simulated_fleet::publish_configuration(item_set const& items) {
+    this->configuration = value_or_throw(make_bundle, items, ++this->revision);
+    for (auto& [host, entry] : this->nodes) {
+        if (entry->core != nullptr && !this->is_cut(*entry)) {
+            this->feed(*entry, platform_event{document_kind::configuration, this->configuration});
+        }
+    }
+}
+
+void simulated_fleet::feed(node& entry, core_event&& event) {
+    if (entry.core == nullptr) {
+        return;
+    }
+    if (this->clock < entry.paused_until) {
+        entry.held.push_back(std::move(event));
+        return;
+    }
+    entry.core->handle(std::move(event), this->clock);
+    this->carry_out(entry);
+}
+
+void simulated_fleet::carry_out(node& entry) {
+    auto wanted = entry.core->take_effects();
+    for (auto const& request : wanted.dials) {
+        this->dial(entry, request);
+    }
+    for (auto& message : wanted.messages) {
+        this->send(entry, std::move(message));
+    }
+    for (auto const connection : wanted.closes) {
+        this->close(entry, connection);
+    }
+    for (auto const id : wanted.target_cancels) {
+        this->end_run(entry, id, true);
+    }
+    for (auto& request : wanted.target_requests) {
+        this->run_at_target(entry, std::move(request));
+    }
+    for (auto& request : wanted.compiles) {
+        compiled_event event{.document = request.document, .revision = request.revision};
+        attempt_or(
+            [&]() -> result<bool> {
+                if (request.document == document_kind::configuration) {
+                    BOOST_LEAF_ASSIGN(event.configuration, compile_bundle(request.content));
+                } else {
+                    BOOST_LEAF_AUTO(read, compile_host_list(request.content));
+                    event.hosts = std::make_shared<host_list const>(std::move(read));
+                }
+                return true;
+            },
+            [&](problem const& cause) {
+                event.refusal = to_text(cause);
+                return false;
+            });
+        auto shared = std::make_shared<compiled_event>(std::move(event));
+        this->due.emplace((this->clock + step_span).milliseconds,
+                          delivery{entry.options.host, entry.incarnation,
+                                   [this, shared](node& at) { this->feed(at, compiled_event(*shared)); }});
+    }
+    this->answer_callers(entry, std::move(wanted.caller_answers), false);
+    this->answer_callers(entry, std::move(wanted.egress_answers), true);
+}
+
+duration simulated_fleet::way(node const& from, node const& to) const {
+    return from.options.failure_domain == to.options.failure_domain ? this->plan.in_domain
+                                                                    : this->plan.between_domains;
+}
+
+bool simulated_fleet::is_cut(node const& entry) const {
+    return this->clock < entry.cut_until;
+}
+
+void simulated_fleet::dial(node& entry, dial_request const& wanted) {
+    auto const dialler = entry.options.host;
+    auto const dialler_incarnation = entry.incarnation;
+    auto const connection = wanted.connection;
+    for (auto& [host, peer] : this->nodes) {
+        bool const is_reached = link_address(host) == wanted.address && peer->core != nullptr &&
+                                !this->is_cut(entry) && !this->is_cut(*peer);
+        if (!is_reached) {
+            continue;
+        }
+        auto const accepted = peer->next_accepted++;
+        entry.links[connection] = {host, accepted};
+        peer->links[accepted] = {dialler, connection};
+        auto const at = this->clock + this->way(entry, *peer) + link_delay;
+        auto const opened = [this](node& end, connection_id id, bool dialled, std::string const& name,
+                                   std::uint64_t incarnation) {
+            this->feed(end, link_event{.kind = link_event_kind::opened,
+                                       .connection = id,
+                                       .dialled = dialled,
+                                       .peer = {name, incarnation}});
+        };
+        auto const peer_incarnation = peer->incarnation;
+        this->due.emplace(at.milliseconds,
+                          delivery{dialler, dialler_incarnation, [=, name = host](node& end) {
+                                       opened(end, connection, true, name, peer_incarnation);
+                                   }});
+        this->due.emplace(at.milliseconds, delivery{host, peer_incarnation, [=](node& end) {
+                                                        opened(end, accepted, false, dialler,
+                                                               dialler_incarnation);
+                                                    }});
+        return;
+    }
+    this->due.emplace((this->clock + link_delay).milliseconds,
+                      delivery{dialler, dialler_incarnation, [this, connection](node& end) {
+                                   this->feed(end, link_event{.kind = link_event_kind::closed,
+                                                              .connection = connection,
+                                                              .dialled = true});
+                               }});
+}
+
+void simulated_fleet::close(node& entry, connection_id connection) {
+    auto const found = entry.links.find(connection);
+    if (found == entry.links.end()) {
+        return;
+    }
+    auto const end = found->second;
+    entry.links.erase(found);
+    auto const closed = [this](node& at, connection_id id) {
+        at.links.erase(id);
+        this->feed(at, link_event{.kind = link_event_kind::closed, .connection = id});
+    };
+    this->due.emplace(
+        (this->clock + link_delay).milliseconds,
+        delivery{entry.options.host, entry.incarnation, [=](node& at) { closed(at, connection); }});
+    auto& peer = *this->nodes.at(end.peer);
+    if (peer.core != nullptr && !this->is_cut(entry) && !this->is_cut(peer)) {
+        this->due.emplace(
+            (this->clock + this->way(entry, peer)).milliseconds,
+            delivery{end.peer, peer.incarnation, [=](node& at) { closed(at, end.peer_connection); }});
+    }
+}
+
+void simulated_fleet::send(node& entry, outgoing_message&& outgoing) {
+    auto const found = entry.links.find(outgoing.connection);
+    if (found == entry.links.end()) {
+        return;
+    }
+    auto const end = found->second;
+    auto& peer = *this->nodes.at(end.peer);
+    if (peer.core == nullptr || this->is_cut(entry) || this->is_cut(peer)) {
+        return;
+    }
+    auto shared = std::make_shared<message>(std::move(outgoing.content));
+    link_identity const sender{entry.options.host, entry.incarnation};
+    this->due.emplace((this->clock + this->way(entry, peer)).milliseconds,
+                      delivery{end.peer, peer.incarnation, [this, end, shared, sender](node& at) {
+                                   if (at.links.contains(end.peer_connection)) {
+                                       this->feed(at, link_event{.kind = link_event_kind::received,
+                                                                 .connection = end.peer_connection,
+                                                                 .peer = sender,
+                                                                 .content = std::move(*shared)});
+                                   }
+                               }});
+}
+
+void simulated_fleet::run_at_target(node& entry, target_request&& request) {
+    auto const index = this->ran.size();
+    this->ran.push_back({entry.options.host, request.request_id, request.path, this->clock, std::nullopt});
+    entry.running[request.id] = index;
+    this->over_slots =
+        std::max(this->over_slots, static_cast<int>(entry.running.size()) - entry.service.slots);
+    if (!entry.service.calls.empty()) {
+        auto const id = this->next_door_id++;
+        this->waiting_runs[id] = index;
+        auto const host = entry.options.host;
+        auto shared = std::make_shared<door_request>(
+            door_request{.id = id,
+                         .side = door_side::egress,
+                         .method = "GET",
+                         .path = "/" + entry.service.calls + "/read",
+                         .context_token = request.context_token,
+                         .request_id = std::string(egress_prefix) + request.request_id,
+                         .timeout_ms = request.deadline_ms});
+        this->due.emplace((this->clock + step_span).milliseconds,
+                          delivery{host, entry.incarnation,
+                                   [this, shared](node& at) { this->feed(at, door_request(*shared)); }});
+        return;
+    }
+    auto const id = request.id;
+    this->due.emplace((this->clock + entry.service.work).milliseconds,
+                      delivery{entry.options.host, entry.incarnation,
+                               [this, id](node& at) { this->end_run(at, id, false); }});
+}
+
+void simulated_fleet::end_run(node& entry, std::uint64_t id, bool cancelled) {
+    auto const found = entry.running.find(id);
+    if (found == entry.running.end()) {
+        return;
+    }
+    this->ran.at(found->second).ended = this->clock;
+    entry.running.erase(found);
+    std::uniform_real_distribution<double> share(0, 1);
+    bool const is_lost = share(this->random) < entry.service.fault_share;
+    target_answer answer{.id = id};
+    if (cancelled) {
+        answer.code = result_code::cancelled;
+    } else if (is_lost) {
+        answer.code = result_code::target_crashed;
+    } else {
+        answer.result = outcome::ran;
+        answer.status = 200;
+    }
+    auto shared = std::make_shared<target_answer>(std::move(answer));
+    this->due.emplace(this->clock.milliseconds,
+                      delivery{entry.options.host, entry.incarnation,
+                               [this, shared](node& at) { this->feed(at, target_answer(*shared)); }});
+}
+
+void simulated_fleet::answer_callers(node& entry, std::vector<door_answer>&& answers, bool egress) {
+    for (auto const& answer : answers) {
+        if (egress) {
+            auto const below = this->waiting_runs.find(answer.id);
+            if (below == this->waiting_runs.end()) {
+                continue;
+            }
+            auto const index = below->second;
+            this->waiting_runs.erase(below);
+            for (auto const& [id, run] : entry.running) {
+                if (run == index) {
+                    this->due.emplace((this->clock + entry.service.work).milliseconds,
+                                      delivery{entry.options.host, entry.incarnation,
+                                               [this, id = id](node& at) { this->end_run(at, id, false); }});
+                    break;
+                }
+            }
+            continue;
+        }
+        auto const who = this->asked.find(answer.id);
+        if (who == this->asked.end()) {
+            continue;
+        }
+        auto& entry_told = this->told.at(who->second.second);
+        entry_told.answered = this->clock;
+        entry_told.status = answer.status;
+        if (answer.note) {
+            entry_told.result = answer.note->result;
+            entry_told.code = answer.note->code;
+            entry_told.retry_after_ms = answer.note->retry_after_ms;
+        }
+        this->asked.erase(who);
+    }
+}
+
+std::string simulated_fleet::ask(std::string const& host, std::string const& path, double timeout_ms,
+                                 std::string const& key_sha256) {
+    auto& entry = *this->nodes.at(host);
+    if (entry.core == nullptr) {
+        return {};
+    }
+    auto const id = this->next_door_id++;
+    auto const request_id = "r-" + std::to_string(id);
+    this->told[request_id] = {.path = path, .sent = this->clock};
+    this->asked[id] = {host, request_id};
+    this->feed(entry, door_request{.id = id,
+                                   .method = "GET",
+                                   .path = path,
+                                   .key_sha256 = key_sha256,
+                                   .request_id = request_id,
+                                   .timeout_ms = timeout_ms});
+    return request_id;
+}
+
+void simulated_fleet::hang_up(std::string const& request_id) {
+    for (auto const& [id, place] : this->asked) {
+        if (place.second == request_id) {
+            this->feed(*this->nodes.at(place.first), hang_up_event{door_side::callers, id});
+            return;
+        }
+    }
+}
+
+std::vector<std::string> simulated_fleet::hosts() const {
+    std::vector<std::string> names;
+    for (auto const& [host, entry] : this->nodes) {
+        names.push_back(host);
+    }
+    return names;
+}
+
+std::vector<std::string> simulated_fleet::hosts_of(std::string const& service) const {
+    std::vector<std::string> names;
+    for (auto const& [host, entry] : this->nodes) {
+        if (entry->service.name == service) {
+            names.push_back(host);
+        }
+    }
+    return names;
+}
+
+bool simulated_fleet::is_alive(std::string const& host) const {
+    return this->nodes.at(host)->core != nullptr;
+}
+
+void simulated_fleet::kill(std::string const& host) {
+    auto& entry = *this->nodes.at(host);
+    if (entry.core == nullptr) {
+        return;
+    }
+    auto const links = entry.links;
+    for (auto const& [connection, end] : links) {
+        this->close(entry, connection);
+    }
+    std::erase_if(this->asked, [&](auto const& place) { return place.second.first == host; });
+    entry.links.clear();
+    entry.held.clear();
+    entry.running.clear();
+    entry.core.reset();
+    entry.incarnation = 0;
+}
+
+void simulated_fleet::restart(std::string const& host) {
+    this->kill(host);
+    this->start(*this->nodes.at(host));
+}
+
+void simulated_fleet::pause(std::string const& host, duration span) {
+    this->nodes.at(host)->paused_until = this->clock + span;
+}
+
+void simulated_fleet::cut(std::string const& host, duration span) {
+    this->nodes.at(host)->cut_until = this->clock + span;
+}
+
+void simulated_fleet::terminate(std::string const& host) {
+    auto& entry = *this->nodes.at(host);
+    entry.stops_at = this->clock + duration{this->plan.drain_ms};
+    this->feed(entry, phase_event{node_phase::draining});
+}
+
+std::size_t simulated_fleet::runs_of(std::string const& request_id) const {
+    auto const& path = this->told.at(request_id).path;
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->ran, [&](target_run const& run) { return run.request_id == request_id && run.path == path; }));
+}
+
+void simulated_fleet::step() {
+    while (!this->due.empty() && this->due.begin()->first <= this->clock.milliseconds) {
+        auto const next = std::move(this->due.begin()->second);
+        this->due.erase(this->due.begin());
+        auto& entry = *this->nodes.at(next.host);
+        if (entry.core != nullptr && entry.incarnation == next.incarnation) {
+            next.act(entry);
+        }
+    }
+    for (auto& [host, entry] : this->nodes) {
+        if (entry->core == nullptr || this->clock < entry->paused_until) {
+            continue;
+        }
+        for (auto& event : std::exchange(entry->held, {})) {
+            this->feed(*entry, std::move(event));
+        }
+        if (this->clock >= entry->next_tick) {
+            entry->next_tick = this->clock + tick_interval;
+            entry->core->tick(this->clock);
+            this->carry_out(*entry);
+        }
+        if (!entry->serving && entry->core->status(false, this->clock)->documents_ready) {
+            entry->serving = true;
+            this->feed(*entry, phase_event{node_phase::serving});
+        }
+        if (entry->stops_at && this->clock >= *entry->stops_at) {
+            this->kill(host);
+        }
+    }
+}
+
+void simulated_fleet::run_for(duration span, std::function<void()> const& each_step) {
+    auto const end = this->clock + span;
+    while (this->clock < end) {
+        this->clock = this->clock + step_span;
+        if (each_step) {
+            each_step();
+        }
+        this->step();
+    }
+}
+
+} // namespace caraway::simulation
