tests: Play faults against real processes, and check what callers and targets saw

Checked: every caller answered in time, 'not run' true, at most one run under a ticket, own answers, clean exits, whole again within 5 s.

--- a/meta/run_tests.py
+++ b/meta/run_tests.py
@@ -6,7 +6,7 @@
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-PROGRAMS = ["base", "config", "policy", "membership", "link", "telemetry", "http", "node", "platform", "utilities", "system"]
+PROGRAMS = ["base", "config", "policy", "membership", "link", "telemetry", "http", "node", "platform", "utilities", "system", "soak"]
 TIME_LIMIT_SECONDS = 1500
 COUNTS = re.compile(r"test cases:\s*(\d+)\s*\|\s*(\d+) passed\s*\|\s*(\d+) failed")
 
