--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -309,6 +309,7 @@
         this->next_cleaning = now + cleaning_interval;
         this->context.admissions.forget_old(now);
         this->context.suspects.forget_old(now);
+        this->origin.clean(now);
     }
     this->gossip(now);
     this->flush(now);
--- a/libraries/node/originator.cpp
+++ b/libraries/node/originator.cpp
@@ -20,6 +20,8 @@
 constexpr std::uint8_t max_depth = 16;
 constexpr double least_retry_after_ms = 100;
 constexpr double overload_retry_after_ms = 500;
+/// The first HTTP status by which a target says that it failed.
+constexpr std::uint16_t least_server_error = 500;
 /// A node keeps this much of the time it was given, so that its own answer still arrives in time.
 constexpr double hop_reserve_ms = 1;
 
@@ -300,8 +302,12 @@
 void originator::admit(origin_call&& call, time_point now) {
     auto const& organisation = call.request.organisation;
     if (this->context.is_controlled()) {
-        auto const part =
+        auto part =
             this->context.admissions.admitted(call.request.route, organisation, call.request.priority, now);
+        // The most urgent requests are shed last: what the others leave free relieves them as well.
+        if (call.request.priority != static_cast<std::uint8_t>(priority_class::critical)) {
+            part = std::min(part, this->ends_in_time.admitted(call.request.route, now));
+        }
         if (selection_position(call.request.selection_hash) >= part) {
             return this->refuse(call, {result_code::overloaded, overload_retry_after_ms}, now);
         }
@@ -658,7 +664,17 @@
                            {"configuration", std::to_string(this->context.configuration->revision())}});
 }
 
+void originator::note_end(origin_call const& call, answer_message const& answer, time_point now) {
+    bool const is_root = call.parent == 0 && !call.request.holds_work;
+    bool const is_late = answer.code == result_code::deadline_passed && call.was_sent;
+    if (is_root && (is_late || answer.code == result_code::ok)) {
+        this->ends_in_time.note_ended(call.request.route, !is_late && answer.status < least_server_error,
+                                      now);
+    }
+}
+
 void originator::finish(origin_call& call, answer_message&& answer, time_point now) {
+    this->note_end(call, answer, now);
     this->context.numbers.count_answer(answer.result, answer.code);
     this->context.numbers.observe(timing::request, now - call.arrived);
     if (this->context.options.wants_spans()) {
--- a/libraries/node/originator.hpp
+++ b/libraries/node/originator.hpp
@@ -6,6 +6,7 @@
 
 #include "node/executor.hpp"
 #include "node/node_context.hpp"
+#include "policy/goodput_guard.hpp"
 
 #include <deque>
 #include <map>
@@ -63,6 +64,8 @@
     /// Ends calls whose parent no longer needs them.
     void abandon(std::uint64_t call, time_point now);
     void tick(time_point now);
+    /// Forgets what is over; needed every few seconds.
+    void clean(time_point now) { this->ends_in_time.forget_old(now); }
     /// Lets waiting requests go on for which tokens have come.
     void admit_supplied(time_point now);
 
@@ -103,6 +106,8 @@
                time_point now);
     void reject(door_request const& request, result_code code, time_point now);
     void refuse(origin_call& call, refusal why, time_point now);
+    /// Keeps how a caller's request ended for the next ones of its route.
+    void note_end(origin_call const& call, answer_message const& answer, time_point now);
     /// Tells how a request ended that the target did not answer, with the inputs of the decision.
     void log_ended(origin_call const& call, answer_message const& answer, time_point now);
     void finish(origin_call& call, answer_message&& answer, time_point now);
@@ -114,6 +119,7 @@
     static outcome unsent_outcome(origin_call const& call);
 
     node_context& context;
+    goodput_guard ends_in_time;
     executor& local;
     std::unordered_map<std::uint64_t, origin_call> calls;
     std::unordered_map<std::uint64_t, std::uint64_t> by_call_id;
--- a/tests/node/fleet_promises_test.cpp
+++ b/tests/node/fleet_promises_test.cpp
@@ -226,3 +226,26 @@
     }));
     CHECK(std::ranges::count(fleet.runs(), "/back/read", &target_run::path) == 90);
 }
+
+TEST_CASE("metastable overload: where requests end too late, fewer are let in, and the most urgent all are") {
+    auto plan = plan_with({{.name = "slow", .hosts = 2, .slots = 50, .work = duration{1500}}});
+    plan.configuration["routes"]["slow-write"]["class"] = {.value = std::string("critical")};
+    simulated_fleet fleet(plan);
+    std::vector<std::string> urgent;
+    std::vector<std::string> others;
+    fleet.run_for(duration{6000}, [&, step = 0]() mutable {
+        if (++step % 50 == 0) {
+            auto const entry = fleet.hosts().at(static_cast<std::size_t>(step / 50) % 2);
+            others.push_back(fleet.ask(entry, "/slow/read", caller_timeout_ms));
+            urgent.push_back(fleet.ask(entry, "/slow/write", caller_timeout_ms));
+        }
+    });
+    fleet.run_for(duration{2000});
+    auto const refused = [&](std::vector<std::string> const& ids) {
+        return std::ranges::count_if(
+            ids, [&](std::string const& id) { return fleet.answers().at(id).result == outcome::not_run; });
+    };
+    CHECK(refused(urgent) == 0);
+    // Seven in ten, once the first ones have ended: of 120 reads, those of the last four seconds.
+    CHECK(refused(others) > 40);
+}
