node, platform, tests: Keep one copy of what was written twice

The check of a published document stood in the runtime and again in the simulated fleet: both call check_document. Behaviour and assertions stay.

--- /dev/null
+++ b/libraries/node/document_check.cpp
@@ -0,0 +1,24 @@
+#include "node/document_check.hpp"
+
+namespace caraway {
+
+compiled_event check_document(compile_request const& request) {
+    compiled_event event{.document = request.document, .revision = request.revision};
+    attempt_or(
+        [&]() -> result<bool> {
+            if (request.document == document_kind::configuration) {
+                BOOST_LEAF_ASSIGN(event.configuration, compile_bundle(request.content));
+            } else {
+                BOOST_LEAF_AUTO(list, compile_host_list(request.content));
+                event.hosts = std::make_shared<host_list const>(std::move(list));
+            }
+            return true;
+        },
+        [&](problem const& cause) {
+            event.refusal = to_text(cause);
+            return false;
+        });
+    return event;
+}
+
+} // namespace caraway
--- a/libraries/node/node_runtime.cpp
+++ b/libraries/node/node_runtime.cpp
@@ -1,6 +1,7 @@
 #include "node/node_runtime.hpp"
 
 #include "base/digest.hpp"
+#include "node/document_check.hpp"
 
 #include <QCoreApplication>
 #include <QMetaObject>
@@ -206,26 +207,7 @@
 }
 
 void node_runtime::compile_waiting() {
-    this->compiles.drain([this](compile_request&& request) { this->compile(std::move(request)); });
-}
-
-void node_runtime::compile(compile_request&& request) {
-    compiled_event event{.document = request.document, .revision = request.revision};
-    attempt_or(
-        [&]() -> result<bool> {
-            if (request.document == document_kind::configuration) {
-                BOOST_LEAF_ASSIGN(event.configuration, compile_bundle(request.content));
-            } else {
-                BOOST_LEAF_AUTO(list, compile_host_list(request.content));
-                event.hosts = std::make_shared<host_list const>(std::move(list));
-            }
-            return true;
-        },
-        [&](problem const& cause) {
-            event.refusal = to_text(cause);
-            return false;
-        });
-    this->core.push(std::move(event));
+    this->compiles.drain([this](compile_request&& request) { this->core.push(check_document(request)); });
 }
 
 void node_runtime::post_spans(std::string text) {
--- a/libraries/node/node_runtime.hpp
+++ b/libraries/node/node_runtime.hpp
@@ -43,7 +43,6 @@
 private:
     void carry_out(effects&& wanted);
     void compile_waiting();
-    void compile(compile_request&& request);
     void on_state(std::string const& name);
     void watch_core();
     void post_spans(std::string text);
--- /dev/null
+++ b/tests/http/accepting_target.hpp
@@ -0,0 +1,60 @@
+/// A target on a thread of its own that serves one connection after another.
+#pragma once
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <thread>
+#include <utility>
+
+namespace caraway::tests {
+
+class accepting_target {
+public:
+    /// `serve` has the connection until it returns, on the target's thread.
+    accepting_target(std::uint16_t port, std::function<void(boost::asio::ip::tcp::socket&)> serve)
+        : serve_connection(std::move(serve)) {
+        boost::asio::ip::tcp::endpoint const place(boost::asio::ip::make_address("127.0.0.1"), port);
+        this->acceptor.open(place.protocol());
+        this->acceptor.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true));
+        this->acceptor.bind(place);
+        this->acceptor.listen();
+        this->worker = std::thread([this] { this->run(); });
+    }
+    ~accepting_target() {
+        this->stopping = true;
+        // Wakes the accept; the thread must not outlive the members that it uses.
+        boost::asio::io_context own;
+        boost::asio::ip::tcp::socket waker(own);
+        boost::system::error_code ignored;
+        waker.connect(this->acceptor.local_endpoint(), ignored);
+        this->worker.join();
+    }
+    accepting_target(accepting_target const&) = delete;
+    accepting_target& operator=(accepting_target const&) = delete;
+
+private:
+    void run() {
+        while (!this->stopping) {
+            boost::system::error_code error;
+            boost::asio::ip::tcp::socket socket(this->io);
+            this->acceptor.accept(socket, error);
+            if (this->stopping || error) {
+                return;
+            }
+            this->serve_connection(socket);
+        }
+    }
+
+    std::function<void(boost::asio::ip::tcp::socket&)> serve_connection;
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor acceptor{io};
+    std::atomic<bool> stopping{false};
+    std::thread worker;
+};
+
+} // namespace caraway::tests
--- a/tests/http/dialect_test.cpp
+++ b/tests/http/dialect_test.cpp
@@ -1,25 +1,24 @@
 /// What doors and the target client do under a dialect in which statuses promise and answers bear an
 /// integrity field.
 
+#include "http/accepting_target.hpp"
+#include "http/asking_client.hpp"
 #include "http/door.hpp"
 #include "http/open_or_fail.hpp"
-#include "http/target_client.hpp"
 #include "standins/test_client.hpp"
 
 #include <boost/asio.hpp>
 #include <doctest/doctest.h>
 
 #include <atomic>
-#include <chrono>
-#include <condition_variable>
-#include <mutex>
-#include <thread>
 #include <unistd.h>
 #include <vector>
 
 using namespace caraway;
 using caraway::standins::client_answer;
 using caraway::standins::test_client;
+using caraway::tests::accepting_target;
+using caraway::tests::asking_client;
 namespace asio = boost::asio;
 
 namespace {
@@ -56,101 +55,57 @@
 /// when there are none left.
 class scripted_target {
 public:
-    scripted_target(std::uint16_t port, std::vector<std::string> answers) : script(std::move(answers)) {
-        asio::ip::tcp::endpoint const place(asio::ip::make_address("127.0.0.1"), port);
-        this->acceptor.open(place.protocol());
-        this->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
-        this->acceptor.bind(place);
-        this->acceptor.listen();
-        this->worker = std::thread([this] { this->run(); });
-    }
-    ~scripted_target() {
-        this->stopping = true;
-        asio::io_context own;
-        asio::ip::tcp::socket waker(own);
-        boost::system::error_code ignored;
-        waker.connect(this->acceptor.local_endpoint(), ignored);
-        this->worker.join();
-    }
+    scripted_target(std::uint16_t port, std::vector<std::string> answers)
+        : script(std::move(answers)),
+          target(port, [this](asio::ip::tcp::socket& socket) { this->serve(socket); }) {}
 
     std::atomic<int> arrivals{0};
     std::atomic<int> connections{0};
     std::string last_head; ///< Read after the answer came.
 
 private:
-    void run() {
-        while (!this->stopping) {
-            boost::system::error_code error;
-            asio::ip::tcp::socket socket(this->io);
-            this->acceptor.accept(socket, error);
-            if (this->stopping || error) {
-                return;
-            }
-            ++this->connections;
-            for (auto const& answer : this->script) {
-                std::string text;
-                asio::read_until(socket, asio::dynamic_buffer(text), "\r\n\r\n", error);
-                if (error) {
-                    break;
-                }
-                ++this->arrivals;
-                this->last_head = text;
-                asio::write(socket, asio::buffer(answer), error);
+    void serve(asio::ip::tcp::socket& socket) {
+        ++this->connections;
+        boost::system::error_code error;
+        for (auto const& answer : this->script) {
+            std::string text;
+            asio::read_until(socket, asio::dynamic_buffer(text), "\r\n\r\n", error);
+            if (error) {
+                break;
             }
+            ++this->arrivals;
+            this->last_head = text;
+            asio::write(socket, asio::buffer(answer), error);
         }
     }
 
     std::vector<std::string> script;
-    asio::io_context io;
-    asio::ip::tcp::acceptor acceptor{io};
-    std::atomic<bool> stopping{false};
-    std::thread worker;
+    accepting_target target; ///< Last, since its thread uses what stands above.
 };
 
-class asking_client {
+class strict_client : public asking_client {
 public:
-    explicit asking_client(std::uint16_t port)
-        : client({.address = "127.0.0.1", .port = port, .dialect = strict_dialect()},
-                 [this](target_answer&& answer) {
-                     std::lock_guard const guard(this->mutex);
-                     this->answers.push_back(std::move(answer));
-                     this->changed.notify_all();
-                 }) {
-        this->client.start();
-    }
+    explicit strict_client(std::uint16_t port) : asking_client(port, strict_dialect()) {}
     target_answer ask(std::string request_id) {
-        auto const id = ++this->last_id;
-        REQUIRE(this->client.send({.id = id,
-                                   .method = "GET",
-                                   .authority = "shop.example",
-                                   .path = "/a",
-                                   .headers = {{"Extra", "kept"}},
-                                   .timeout_ms = 3000,
-                                   .deadline_ms = 1234.7,
-                                   .request_id = std::move(request_id),
-                                   .context_token = "token",
-                                   .organisation = "org",
-                                   .calling_service = "front",
-                                   .instance = "i-1"}));
-        std::unique_lock lock(this->mutex);
-        REQUIRE(this->changed.wait_for(lock, std::chrono::seconds(10),
-                                       [&] { return this->answers.size() == id; }));
-        return this->answers.back();
+        return this->send({.method = "GET",
+                           .authority = "shop.example",
+                           .path = "/a",
+                           .headers = {{"Extra", "kept"}},
+                           .timeout_ms = 3000,
+                           .deadline_ms = 1234.7,
+                           .request_id = std::move(request_id),
+                           .context_token = "token",
+                           .organisation = "org",
+                           .calling_service = "front",
+                           .instance = "i-1"});
     }
-
-private:
-    std::mutex mutex;
-    std::condition_variable changed;
-    std::vector<target_answer> answers;
-    std::uint64_t last_id{0};
-    target_client client;
 };
 
 /// Asks a target with this script once.
 target_answer answer_to(std::vector<std::string> script) {
     auto const port = next_port();
     scripted_target target(port, std::move(script));
-    asking_client client(port);
+    strict_client client(port);
     return client.ask("r1");
 }
 
@@ -190,7 +145,7 @@
 TEST_CASE("the target gets what the dialect names, and nothing of the product's own") {
     auto const port = next_port();
     scripted_target target(port, {answer_text("200 OK", "Id: r1\r\nMark: m\r\n", "whole")});
-    asking_client client(port);
+    strict_client client(port);
     auto const answer = client.ask("r1");
     CHECK(answer.result == outcome::ran);
     CHECK(answer.body == "whole");
@@ -236,7 +191,7 @@
     auto const own = answer_text("200 OK", "Id: r1\r\nMark: m\r\n", "own");
     auto const late = answer_text("200 OK", "Id: r0\r\nMark: m\r\n", "other's");
     scripted_target target(port, {late + own, own});
-    asking_client client(port);
+    strict_client client(port);
     CHECK(client.ask("r1").body == "own");
     CHECK(client.ask("r1").body == "own");
     CHECK(target.connections == 2);
@@ -246,7 +201,7 @@
     auto const port = next_port();
     auto const own = answer_text("200 OK", "Id: r1\r\nMark: m\r\n", "own");
     scripted_target target(port, {own + "HTTP/1.1 200 OK\r\n", own});
-    asking_client client(port);
+    strict_client client(port);
     CHECK(client.ask("r1").body == "own");
     CHECK(client.ask("r1").body == "own");
     CHECK(target.connections == 2);
@@ -257,7 +212,7 @@
     target_answer alive;
     {
         scripted_target target(port, {""});
-        asking_client client(port);
+        strict_client client(port);
         alive = client.ask("r1");
     }
     CHECK(alive.code == result_code::target_crashed);
--- a/tests/node/simulated_fleet.cpp
+++ b/tests/node/simulated_fleet.cpp
@@ -1,5 +1,7 @@
 #include "node/simulated_fleet.hpp"
 
+#include "node/document_check.hpp"
+
 #include <algorithm>
 #include <stdexcept>
 #include <utility>
@@ -18,11 +20,9 @@
     return host + ":" + std::to_string(link_port);
 }
 
-template <typename Value>
-Value value_or_throw(result<Value> (*make)(item_set const&, std::uint64_t), item_set const& items,
-                     std::uint64_t revision) {
-    return attempt_or([&] { return make(items, revision); },
-                      [](problem const& cause) -> Value { throw std::logic_error(to_text(cause)); });
+bundle bundle_of(item_set const& items, std::uint64_t revision) {
+    return attempt_or([&] { return make_bundle(items, revision); },
+                      [](problem const& cause) -> bundle { throw std::logic_error(to_text(cause)); });
 }
 
 } // namespace
@@ -100,7 +100,7 @@
         }
     }
     this->list.revision = this->revision;
-    this->configuration = value_or_throw(make_bundle, this->plan.configuration, this->revision);
+    this->configuration = bundle_of(this->plan.configuration, this->revision);
     for (auto& [host, entry] : this->nodes) {
         this->start(*entry);
     }
@@ -136,7 +136,7 @@
 }
 
 void simulated_fleet::publish_configuration(item_set const& items) {
-    this->configuration = value_or_throw(make_bundle, items, ++this->revision);
+    this->configuration = bundle_of(items, ++this->revision);
     for (auto& [host, entry] : this->nodes) {
         if (entry->core != nullptr && !this->is_cut(*entry)) {
             this->feed(*entry, platform_event{document_kind::configuration, this->configuration});
@@ -174,22 +174,7 @@
         this->run_at_target(entry, std::move(request));
     }
     for (auto& request : wanted.compiles) {
-        compiled_event event{.document = request.document, .revision = request.revision};
-        attempt_or(
-            [&]() -> result<bool> {
-                if (request.document == document_kind::configuration) {
-                    BOOST_LEAF_ASSIGN(event.configuration, compile_bundle(request.content));
-                } else {
-                    BOOST_LEAF_AUTO(read, compile_host_list(request.content));
-                    event.hosts = std::make_shared<host_list const>(std::move(read));
-                }
-                return true;
-            },
-            [&](problem const& cause) {
-                event.refusal = to_text(cause);
-                return false;
-            });
-        auto shared = std::make_shared<compiled_event>(std::move(event));
+        auto shared = std::make_shared<compiled_event>(check_document(request));
         this->due.emplace((this->clock + step_span).milliseconds,
                           delivery{entry.options.host, entry.incarnation,
                                    [this, shared](node& at) { this->feed(at, compiled_event(*shared)); }});
