base, http, link: Give each duty one constructor, on a loop of its own or a shared one

Door, target client and link hub each had three constructors, and each asked whether it owned its loop when it started and stopped. loop_use holds that once. Behaviour stays.

--- a/libraries/base/service_loop.hpp
+++ b/libraries/base/service_loop.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <memory>
 #include <thread>
 
 namespace caraway {
@@ -38,4 +39,30 @@
     std::thread worker;
 };
 
+/// The loop of one duty: a loop of its own, or one that it shares.
+class loop_use {
+public:
+    loop_use() : own(std::make_unique<service_loop>()), used(own.get()) {}
+    /// `shared` must have stopped before the duty is destroyed.
+    explicit loop_use(service_loop& shared) : used(&shared) {}
+
+    boost::asio::io_context& context() const { return this->used->context(); }
+
+    /// Starts and stops the own loop; a shared one has its owner for that.
+    void start() {
+        if (this->own != nullptr) {
+            this->own->start();
+        }
+    }
+    void stop() {
+        if (this->own != nullptr) {
+            this->own->stop();
+        }
+    }
+
+private:
+    std::unique_ptr<service_loop> own; ///< Null when the loop is shared.
+    service_loop* used;
+};
+
 } // namespace caraway
--- a/libraries/http/door.cpp
+++ b/libraries/http/door.cpp
@@ -23,25 +23,15 @@
 
 } // namespace
 
-door::door(door_settings wanted, door_events handlers)
-    : door(std::move(wanted), std::move(handlers), std::make_unique<service_loop>()) {}
-
-door::door(door_settings wanted, door_events handlers, std::unique_ptr<service_loop> own)
-    : door(std::move(wanted), std::move(handlers), *own) {
-    this->own_loop = std::move(own);
-}
-
-door::door(door_settings wanted, door_events handlers, service_loop& shared)
-    : options(std::move(wanted)), events(std::move(handlers)), context(shared.context()),
-      acceptor(this->context), sweep_timer(this->context),
+door::door(door_settings wanted, door_events handlers, loop_use used_loop)
+    : options(std::move(wanted)), events(std::move(handlers)), loop(std::move(used_loop)),
+      context(this->loop.context()), acceptor(this->context), sweep_timer(this->context),
       answers(2 * options.max_connections + least_answers) {
     this->answers.set_wake([this] { asio::post(this->context, [this] { this->deliver_answers(); }); });
 }
 
 door::~door() {
-    if (this->own_loop != nullptr) {
-        this->own_loop->stop();
-    }
+    this->loop.stop();
 }
 
 result<void> door::open() {
@@ -62,9 +52,7 @@
     }
     this->accept();
     this->schedule_sweep();
-    if (this->own_loop != nullptr) {
-        this->own_loop->start();
-    }
+    this->loop.start();
     return {};
 }
 
--- a/libraries/http/door.hpp
+++ b/libraries/http/door.hpp
@@ -87,9 +87,7 @@
 
 class door {
 public:
-    door(door_settings wanted, door_events handlers);
-    /// Runs on `shared`, which must have stopped before the door is destroyed.
-    door(door_settings wanted, door_events handlers, service_loop& shared);
+    door(door_settings wanted, door_events handlers, loop_use used_loop = {});
     ~door();
     door(door const&) = delete;
     door& operator=(door const&) = delete;
@@ -110,8 +108,6 @@
 private:
     friend class door_session;
 
-    door(door_settings wanted, door_events handlers, std::unique_ptr<service_loop> own);
-
     void accept();
     void deliver_answers();
     void deliver(door_answer&& value);
@@ -120,7 +116,7 @@
 
     door_settings options;
     door_events events;
-    std::unique_ptr<service_loop> own_loop; ///< Null when the loop is shared.
+    loop_use loop;
     boost::asio::io_context& context;
     boost::asio::ip::tcp::acceptor acceptor;
     boost::asio::steady_timer sweep_timer;
--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -283,32 +283,19 @@
     int strays{0}; ///< Answers to other requests that were read past.
 };
 
-target_client::target_client(target_client_settings wanted, std::function<void(target_answer&&)> answer_sink)
-    : target_client(std::move(wanted), std::move(answer_sink), std::make_unique<service_loop>()) {}
-
-target_client::target_client(target_client_settings wanted, std::function<void(target_answer&&)> answer_sink,
-                             std::unique_ptr<service_loop> own)
-    : target_client(std::move(wanted), std::move(answer_sink), *own) {
-    this->own_loop = std::move(own);
-}
-
 target_client::target_client(target_client_settings wanted, std::function<void(target_answer&&)> answer_sink,
-                             service_loop& shared)
-    : options(std::move(wanted)), sink(std::move(answer_sink)), context(shared.context()),
-      commands(options.max_requests) {
+                             loop_use used_loop)
+    : options(std::move(wanted)), sink(std::move(answer_sink)), loop(std::move(used_loop)),
+      context(this->loop.context()), commands(options.max_requests) {
     this->commands.set_wake([this] { asio::post(this->context, [this] { this->run_commands(); }); });
 }
 
 target_client::~target_client() {
-    if (this->own_loop != nullptr) {
-        this->own_loop->stop();
-    }
+    this->loop.stop();
 }
 
 void target_client::start() {
-    if (this->own_loop != nullptr) {
-        this->own_loop->start();
-    }
+    this->loop.start();
 }
 
 bool target_client::send(target_request&& request) {
--- a/libraries/http/target_client.hpp
+++ b/libraries/http/target_client.hpp
@@ -65,10 +65,8 @@
 class target_client {
 public:
     /// `sink` is called on the client's loop with exactly one answer for each request.
-    target_client(target_client_settings wanted, std::function<void(target_answer&&)> sink);
-    /// Runs on `shared`, which must have stopped before the client is destroyed.
     target_client(target_client_settings wanted, std::function<void(target_answer&&)> sink,
-                  service_loop& shared);
+                  loop_use used_loop = {});
     ~target_client();
     target_client(target_client const&) = delete;
     target_client& operator=(target_client const&) = delete;
@@ -84,9 +82,6 @@
 private:
     friend class target_call;
 
-    target_client(target_client_settings wanted, std::function<void(target_answer&&)> sink,
-                  std::unique_ptr<service_loop> own);
-
     struct command {
         bool cancels{false};
         target_request request;
@@ -101,7 +96,7 @@
 
     target_client_settings options;
     std::function<void(target_answer&&)> sink;
-    std::unique_ptr<service_loop> own_loop; ///< Null when the loop is shared.
+    loop_use loop;
     boost::asio::io_context& context;
     bounded_ring<command> commands;
     std::unordered_map<std::uint64_t, std::weak_ptr<target_call>> calls;
--- a/libraries/link/link_hub.cpp
+++ b/libraries/link/link_hub.cpp
@@ -31,27 +31,15 @@
 } // namespace
 
 link_hub::link_hub(link_identity own_identity, std::string fleet_secret, std::size_t max_message,
-                   event_sink sink_function)
-    : link_hub(std::move(own_identity), std::move(fleet_secret), max_message, std::move(sink_function),
-               std::make_unique<service_loop>()) {}
-
-link_hub::link_hub(link_identity own_identity, std::string fleet_secret, std::size_t max_message,
-                   event_sink sink_function, std::unique_ptr<service_loop> own)
-    : link_hub(std::move(own_identity), std::move(fleet_secret), max_message, std::move(sink_function),
-               *own) {
-    this->own_loop = std::move(own);
-    this->own_loop->start();
+                   event_sink sink_function, loop_use used_loop)
+    : loop(std::move(used_loop)), context(this->loop.context()), acceptor(this->context),
+      identity(std::move(own_identity)), secret(std::move(fleet_secret)), max_frame(max_message),
+      sink(std::move(sink_function)) {
+    this->loop.start();
 }
 
-link_hub::link_hub(link_identity own_identity, std::string fleet_secret, std::size_t max_message,
-                   event_sink sink_function, service_loop& shared)
-    : context(shared.context()), acceptor(this->context), identity(std::move(own_identity)),
-      secret(std::move(fleet_secret)), max_frame(max_message), sink(std::move(sink_function)) {}
-
 link_hub::~link_hub() {
-    if (this->own_loop != nullptr) {
-        this->own_loop->stop();
-    }
+    this->loop.stop();
 }
 
 result<void> link_hub::listen(std::string const& address) {
--- a/libraries/link/link_hub.hpp
+++ b/libraries/link/link_hub.hpp
@@ -29,10 +29,8 @@
     using event_sink = std::function<bool(link_event&&)>;
 
     /// `max_message` bounds a frame in bytes.
-    link_hub(link_identity own_identity, std::string fleet_secret, std::size_t max_message, event_sink sink);
-    /// Runs on `shared`, which must have stopped before the hub is destroyed.
     link_hub(link_identity own_identity, std::string fleet_secret, std::size_t max_message, event_sink sink,
-             service_loop& shared);
+             loop_use used_loop = {});
     ~link_hub();
     link_hub(link_hub const&) = delete;
     link_hub& operator=(link_hub const&) = delete;
@@ -58,15 +56,12 @@
 private:
     friend class link_connection;
 
-    link_hub(link_identity own_identity, std::string fleet_secret, std::size_t max_message, event_sink sink,
-             std::unique_ptr<service_loop> own);
-
     void accept();
     bool report(link_event&& event) { return this->sink(std::move(event)); }
     void forget(connection_id id);
     std::shared_ptr<link_connection> find(connection_id id) const;
 
-    std::unique_ptr<service_loop> own_loop; ///< Null when the loop is shared.
+    loop_use loop;
     boost::asio::io_context& context;
     boost::asio::ip::tcp::acceptor acceptor;
     link_identity identity;
--- a/libraries/node/node_runtime.cpp
+++ b/libraries/node/node_runtime.cpp
@@ -42,7 +42,7 @@
       links(
           {options.host, incarnation}, options.fleet_secret,
           std::max(least_message, options.max_body + message_overhead),
-          [this](link_event&& event) { return this->core.push(std::move(event)); }, core.loop()),
+          [this](link_event&& event) { return this->core.push(std::move(event)); }, loop_use(core.loop())),
       target(
           {.address = options.target.address,
            .port = options.target.port,
@@ -53,7 +53,7 @@
           [this](target_answer&& answer) {
               [[maybe_unused]] bool const taken = this->core.push(std::move(answer));
           },
-          core.loop()) {
+          loop_use(core.loop())) {
     this->compiles.set_wake([this] {
         QMetaObject::invokeMethod(
             &this->control, [this] { this->compile_waiting(); }, Qt::QueuedConnection);
@@ -86,7 +86,7 @@
                                                 .idle_timeout_ms = this->options.idle_timeout_ms,
                                                 .max_pipeline = this->options.max_pipeline,
                                                 .dialect = this->binding.dialect},
-                                  this->make_door_events(side), this->core.loop());
+                                  this->make_door_events(side), loop_use(this->core.loop()));
 }
 
 result<void> node_runtime::start() {
--- a/tests/http/pipeline_test.cpp
+++ b/tests/http/pipeline_test.cpp
@@ -105,7 +105,7 @@
                         return true;
                     },
                 .hang_up = [](std::uint64_t) {}},
-               loop);
+               loop_use(loop));
     served = &entry;
     loop.start();
     tests::open_or_fail(entry);
