membership: Keep pools when a started host answers for the first time

Cause: a host that has just joined or restarted answered every membership request with 'was no member', which means 'removed'. Each active host of the domain then voided all its pools and waited for the takeover delay, so one join or restart refused requests in the whole domain.

Change: the answer tells a first request apart from a removal, and an active host ignores it. A host that is joining still treats it as before. The handshake's proofs include the message format, so that nodes with different formats refuse each other's links.

--- a/libraries/link/handshake.cpp
+++ b/libraries/link/handshake.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr std::size_t nonce_bytes = 16;
+/// Part of every proof, so that two nodes with different message formats refuse each other's links. It must
+/// change with the fields or the order of any message.
+constexpr std::string_view message_format = "format 2";
 
 auto refuse(std::string message) {
     return fail({result_code::link_unauthenticated, std::move(message)});
@@ -29,6 +32,8 @@
     auto const& dialling = dials ? this->identity : this->peer_identity;
     auto const& accepting = dials ? this->peer_identity : this->identity;
     std::string text(purpose);
+    text += '\n';
+    text += message_format;
     for (auto const& part :
          {dialling_nonce, accepting_nonce, dialling.host, std::to_string(dialling.incarnation),
           accepting.host, std::to_string(accepting.incarnation)}) {
--- a/libraries/membership/domain_membership.cpp
+++ b/libraries/membership/domain_membership.cpp
@@ -61,16 +61,24 @@
     this->try_activate(now);
 }
 
-bool domain_membership::acknowledge_host(std::string const& name, std::uint64_t incarnation, time_point now) {
+bool domain_membership::has_removed(std::string const& name) const {
+    return std::ranges::find(this->removals, name, &removal::host) != this->removals.end();
+}
+
+acknowledgement domain_membership::acknowledge_host(std::string const& name, std::uint64_t incarnation,
+                                                    time_point now) {
     auto const found = this->other_members.find(name);
-    bool const was_member = found != this->other_members.end() && found->second.incarnation == incarnation;
+    bool const is_known = found != this->other_members.end();
+    acknowledgement const reply{.was_member = is_known && found->second.incarnation == incarnation,
+                                .is_first =
+                                    is_known && found->second.incarnation == 0 && !this->has_removed(name)};
     this->add_member(name, false, now);
     auto& entry = this->other_members[name];
     entry.incarnation = incarnation;
     if (!entry.listed) {
         entry.unlisted_since = now;
     }
-    return was_member;
+    return reply;
 }
 
 void domain_membership::record_departure(std::string const& name, time_point now) {
@@ -130,7 +138,8 @@
     return due;
 }
 
-void domain_membership::on_acknowledged_by(std::string const& name, std::uint64_t sequence, bool was_member,
+void domain_membership::on_acknowledged_by(std::string const& name, std::uint64_t sequence,
+                                           acknowledgement reply,
                                            std::vector<std::string> const& reported_members, time_point now) {
     auto const request = this->pending.find(sequence);
     bool const expected = request != this->pending.end() && request->second.host == name;
@@ -148,13 +157,13 @@
     if (entry == this->other_members.end()) {
         return;
     }
-    if (this->active && !was_member) {
+    if (this->active && !reply.was_member && !reply.is_first) {
         // The other host had removed this one, so another host may own its pools by now.
         this->restart_join(now);
         this->was_member_throughout = false;
     }
     entry->second.acknowledged = true;
-    if (!this->active && !was_member) {
+    if (!this->active && !reply.was_member) {
         this->was_member_throughout = false;
     }
     this->acknowledged_until =
--- a/libraries/membership/domain_membership.hpp
+++ b/libraries/membership/domain_membership.hpp
@@ -39,6 +39,14 @@
     std::uint64_t sequence{0};
 };
 
+/// What the answering host knew of the asking one before the request.
+struct acknowledgement {
+    bool was_member{false}; ///< This incarnation of the asking host had been acknowledged.
+    /// The asking host has been a member since the answering one started, but has not asked it before. So the
+    /// answering host has not removed it, but cannot tell what its own former incarnation did.
+    bool is_first{false};
+};
+
 class domain_membership {
 public:
     domain_membership(std::string own_host, lease_timing own_timing, time_point started);
@@ -47,8 +55,8 @@
     /// listed.
     void update_list(std::set<std::string> const& listed, time_point now);
 
-    /// Another host asks to be acknowledged; true when this incarnation of it was already a member.
-    bool acknowledge_host(std::string const& host, std::uint64_t incarnation, time_point now);
+    /// Another host asks to be acknowledged as a member.
+    acknowledgement acknowledge_host(std::string const& host, std::uint64_t incarnation, time_point now);
 
     /// Another host no longer owns pools and leaves.
     void record_departure(std::string const& host, time_point now);
@@ -59,7 +67,7 @@
 
     /// A host has acknowledged request `sequence`; `reported_members` is its member set, empty if its digest
     /// equalled the one in the request.
-    void on_acknowledged_by(std::string const& host, std::uint64_t sequence, bool was_member,
+    void on_acknowledged_by(std::string const& host, std::uint64_t sequence, acknowledgement reply,
                             std::vector<std::string> const& reported_members, time_point now);
 
     bool may_own_pools(time_point now) const;
@@ -106,6 +114,7 @@
     /// Discards all acknowledgements, so that they are requested again at once.
     void reset_acknowledgements(time_point now);
     void try_activate(time_point now);
+    bool has_removed(std::string const& host) const;
     bool is_only_member() const { return this->other_members.empty(); }
     bool runs_without_pause(time_point now) const {
         return now - this->last_request_round < this->timing.acknowledgement_span;
--- a/libraries/membership/lease_message.hpp
+++ b/libraries/membership/lease_message.hpp
@@ -57,12 +57,13 @@
 /// Acknowledges the receiver as a member; includes the sender's member set if the digests differ.
 struct membership_reply_message {
     std::uint64_t sequence{0};
-    bool was_member{false}; ///< This incarnation was a member before the request.
+    bool was_member{false}; ///< This incarnation of the receiver was a member before the request.
+    bool is_first{false};   ///< The receiver was listed, and the sender has never removed it.
     std::vector<std::string> members;
 
     template <typename Visitor>
     void visit(Visitor&& visitor) {
-        visitor(this->sequence, this->was_member, this->members);
+        visitor(this->sequence, this->was_member, this->is_first, this->members);
     }
 };
 
--- a/libraries/membership/rate_lease_manager.cpp
+++ b/libraries/membership/rate_lease_manager.cpp
@@ -217,7 +217,8 @@
         return this->handle_membership_request(from, *ask, now);
     }
     auto const& answer = std::get<membership_reply_message>(content);
-    this->membership.on_acknowledged_by(from, answer.sequence, answer.was_member, answer.members, now);
+    this->membership.on_acknowledged_by(from, answer.sequence, {answer.was_member, answer.is_first},
+                                        answer.members, now);
 }
 
 void rate_lease_manager::handle_token_request(std::string const& from, token_request_message const& request,
@@ -300,9 +301,9 @@
         return this->membership.record_departure(from, now);
     }
     auto const theirs = ask.members_digest;
-    membership_reply_message answer{.sequence = ask.sequence,
-                                    .was_member =
-                                        this->membership.acknowledge_host(from, ask.incarnation, now)};
+    auto const reply = this->membership.acknowledge_host(from, ask.incarnation, now);
+    membership_reply_message answer{
+        .sequence = ask.sequence, .was_member = reply.was_member, .is_first = reply.is_first};
     if (theirs != this->membership.digest()) {
         answer.members = this->membership.members();
     }
--- a/tests/link/codec_test.cpp
+++ b/tests/link/codec_test.cpp
@@ -61,7 +61,7 @@
     case 6:
         return token_request_message{any_text(), 1, -5, 6, {{1, 2, 3}}};
     default:
-        return membership_reply_message{7, true, {any_text(), any_text()}};
+        return membership_reply_message{7, true, false, {any_text(), any_text()}};
     }
 }
 
--- a/tests/membership/rate_lease_manager_test.cpp
+++ b/tests/membership/rate_lease_manager_test.cpp
@@ -109,3 +109,20 @@
     CHECK(refused <= 0.01 * (served + refused));
     CHECK(fleet.admission_excess() <= rounding);
 }
+
+TEST_CASE("a host that joins or restarts interrupts no pool that it does not take over") {
+    // The first answers of a started process must not be mistaken for those of a host that has removed the
+    // asking one: all hosts of the domain would void their pools.
+    for (auto const change : {simulation_action::join, simulation_action::restart}) {
+        rate_simulation fleet(1, 12, limit, {}, 17);
+        fleet.run(startup_ms, 0);
+        fleet.run(2000, 0);
+        fleet.run(4000, 0.6 * limit.rate);
+        auto const refused_before = fleet.refused();
+        fleet.apply(change, 3);
+        fleet.run(8000, 0.6 * limit.rate);
+        INFO("refused " << fleet.refused() - refused_before);
+        CHECK(fleet.refused() == refused_before);
+        CHECK(fleet.admission_excess() <= rounding);
+    }
+}
