--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -17,7 +17,8 @@
 /// Up to four times this many connected peers receive gossip at once after a revision came into force or a
 /// target crashed.
 constexpr std::size_t urgent_gossip_fanout = 4;
-constexpr std::size_t platform_reader_count = 3;
+/// Hosts of each failure domain that read the platform at the same time.
+constexpr std::size_t active_reader_count = 2;
 constexpr std::size_t max_gossiped_suspects = 64;
 
 template <typename... Handlers>
@@ -368,13 +369,17 @@
             names.push_back(entry.host);
         }
     }
-    auto const readers = rendezvous_top(names, "platform", platform_reader_count);
-    bool const listed = std::ranges::find(readers, this->context.options.host) != readers.end();
-    // A node without a configuration, or without a link to another reader, has to read the platform itself.
-    bool const has_live_reader = std::ranges::any_of(readers, [this](std::string const& name) {
-        return name != this->context.options.host && this->context.peers.is_connected(name);
-    });
-    return listed || !has_live_reader || this->context.configuration == nullptr;
+    auto const readers = rendezvous_top(names, platform_reader_key, platform_reader_count);
+    std::size_t live_readers = 0;
+    for (auto const& name : readers) {
+        if (name == this->context.options.host) {
+            // A standby reads only while one of the readers before it is not reachable.
+            return live_readers < active_reader_count || this->context.configuration == nullptr;
+        }
+        live_readers += this->context.peers.is_connected(name) ? 1 : 0;
+    }
+    // A node without a configuration, or without a link to any reader, has to read the platform itself.
+    return live_readers == 0 || this->context.configuration == nullptr;
 }
 
 bool node_core::is_idle() const {
--- a/libraries/node/peer_table.cpp
+++ b/libraries/node/peer_table.cpp
@@ -39,7 +39,7 @@
         }
     }
     std::set<std::string> chosen;
-    for (auto const& [name, names] : by_domain) {
+    for (auto& [name, names] : by_domain) {
         auto const count =
             hosts.size() <= max_full_mesh_hosts
                 ? names.size()
@@ -47,7 +47,15 @@
         for (auto& top : rendezvous_top(names, own_host, count)) {
             chosen.insert(std::move(top));
         }
+        if (name == own_domain) {
+            // News of the platform, and the loss of a reader, must reach every node of the domain directly.
+            names.push_back(own_host);
+            for (auto& reader : rendezvous_top(names, platform_reader_key, platform_reader_count)) {
+                chosen.insert(std::move(reader));
+            }
+        }
     }
+    chosen.erase(own_host);
     return chosen;
 }
 
--- a/libraries/node/peer_table.hpp
+++ b/libraries/node/peer_table.hpp
@@ -117,8 +117,12 @@
     std::uint64_t next_sequence{1};
 };
 
-/// The hosts to which a node always keeps a link: all of them in a small fleet, else a few in its own failure
-/// domain and in each other one.
+/// The rendezvous key and the number of the hosts of a failure domain that read the platform or stand by to.
+inline constexpr std::string_view platform_reader_key = "platform";
+inline constexpr std::size_t platform_reader_count = 3;
+
+/// The hosts to which a node always keeps a link: all of them in a small fleet, else the platform's readers
+/// and a few others in its own failure domain, and a few in each other one.
 std::set<std::string> choose_neighbours(std::string const& own_host, std::string const& own_domain,
                                         std::vector<listed_host> const& hosts);
 
--- a/tests/node/simulated_fleet.cpp
+++ b/tests/node/simulated_fleet.cpp
@@ -421,6 +421,10 @@
     return names;
 }
 
+bool simulated_fleet::reads_platform(std::string const& host) const {
+    return this->is_alive(host) && this->nodes.at(host)->core->reads_platform();
+}
+
 bool simulated_fleet::is_alive(std::string const& host) const {
     return this->nodes.at(host)->core != nullptr;
 }
--- a/tests/node/simulated_fleet.hpp
+++ b/tests/node/simulated_fleet.hpp
@@ -82,6 +82,8 @@
     std::vector<std::string> hosts() const;
     std::vector<std::string> hosts_of(std::string const& service) const;
     bool is_alive(std::string const& host) const;
+    /// Whether the host's node reads the platform itself.
+    bool reads_platform(std::string const& host) const;
 
     void kill(std::string const& host);
     void restart(std::string const& host);
