node: Ping links to hosts that are no neighbours every 3 s

Cause: at 95 hosts nearly every host has links to every other one in both directions, so a node sent and received some 380 pings and pongs a second at rest, against 25 arrivals.

Change: links to hosts that are no neighbours are pinged every 3 s.

--- a/libraries/node/peer_table.cpp
+++ b/libraries/node/peer_table.cpp
@@ -12,6 +12,9 @@
 /// Ping interval of a link on which nothing was received since the last message was sent.
 constexpr duration unanswered_message_ping_interval{200};
 constexpr duration idle_ping_interval{1000};
+/// The same for a link to a host that is not a neighbour. In a large fleet nearly every host has one to every
+/// other, so that these pings would cost more than the requests.
+constexpr duration rare_ping_interval{3000};
 /// When a ping stays unanswered for this long, a second connection is dialled.
 constexpr duration suspect_timeout{400};
 /// When a ping stays unanswered for this long, the connection is closed.
@@ -260,7 +263,8 @@
         has_healthy_link =
             has_healthy_link || !awaits_pong || now - link.unanswered_ping_sent_at < suspect_timeout;
         bool const is_unanswered = link.last_message_sent_at > link.last_received_at;
-        auto const interval = is_unanswered ? unanswered_message_ping_interval : idle_ping_interval;
+        auto const idle_interval = this->neighbours.contains(name) ? idle_ping_interval : rare_ping_interval;
+        auto const interval = is_unanswered ? unanswered_message_ping_interval : idle_interval;
         bool const ping_is_due =
             !awaits_pong && now - std::max(link.last_ping_sent_at, link.last_received_at) >= interval;
         if (ping_is_due) {
