node: Spread news at most every 80 ms, and repeat a check whose result was lost

Cause: while a fleet starts, its list changes some 25 times in 3 s, and each node told up to 16 peers of each at once. Besides, a full queue to or from the checking thread lost a document for good: its revision stayed marked as being checked.

Change: gossip to several peers at once is sent at most every 80 ms. A check without a result after 5 s is requested again; its test fails without that (no second request; tried afterwards on a scratch copy).

tests/link: the codec test names the new field of token requests; its program had not been rebuilt since that field came.

--- a/libraries/node/document_replicator.cpp
+++ b/libraries/node/document_replicator.cpp
@@ -11,6 +11,9 @@
 /// After this a node that started accepts platform documents without gossip from a peer.
 constexpr duration peer_wait_timeout{1500};
 constexpr duration fetch_timeout{600};
+/// A check whose result has not arrived by then is requested again: requests and results pass through bounded
+/// queues, which drop them when they are full.
+constexpr duration check_timeout{5000};
 constexpr std::size_t max_names_per_fetch = 64;
 /// A fetch answer carries at least one value; no further one is added once the values have reached this size.
 constexpr std::size_t answer_bytes_soft_limit = 262'144;
@@ -33,9 +36,11 @@
            (!document.checking || revision > document.checking_revision);
 }
 
-void document_replicator::request_check(document_kind kind, std::uint64_t revision, bundle content) {
+void document_replicator::request_check(document_kind kind, std::uint64_t revision, bundle content,
+                                        time_point now) {
     auto& document = this->state(kind);
     document.checking = content;
+    document.checking_since = now;
     document.checking_revision = revision;
     this->out.document_checks.push_back({kind, revision, std::move(content)});
 }
@@ -143,7 +148,7 @@
         auto const revision = fetch.revision;
         document.fetch.reset();
         if (this->is_newer(document, revision)) {
-            this->request_check(kind, revision, std::move(content));
+            this->request_check(kind, revision, std::move(content), now);
         }
         return;
     }
@@ -179,6 +184,9 @@
         if (document.fetch && now - document.fetch->last_progress >= fetch_timeout) {
             document.fetch.reset();
         }
+        if (document.checking && now - document.checking_since >= check_timeout) {
+            this->request_check(kind, document.checking_revision, *document.checking, now);
+        }
         if (!document.platform_document || !this->accepts_platform_documents(now)) {
             continue;
         }
@@ -191,7 +199,7 @@
             },
             [](problem const&) { return std::uint64_t{0}; });
         if (this->is_newer(document, revision) && revision >= document.newest_peer_revision) {
-            this->request_check(kind, revision, std::move(content));
+            this->request_check(kind, revision, std::move(content), now);
         }
     }
 }
--- a/libraries/node/document_replicator.hpp
+++ b/libraries/node/document_replicator.hpp
@@ -65,6 +65,7 @@
         bundle content;
         std::optional<bundle> checking;
         std::uint64_t checking_revision{0};
+        time_point checking_since;
         std::uint64_t refused_revision{0};
         std::uint64_t newest_peer_revision{0};   ///< Nothing older than this is accepted from the platform.
         std::optional<bundle> platform_document; ///< Kept until platform documents are accepted.
@@ -75,7 +76,7 @@
     document_state const& state(document_kind kind) const {
         return this->documents.at(static_cast<std::size_t>(kind));
     }
-    void request_check(document_kind kind, std::uint64_t revision, bundle content);
+    void request_check(document_kind kind, std::uint64_t revision, bundle content, time_point now);
     /// Whether the revision is newer than the one in force and the one being checked, and was not refused.
     bool is_newer(document_state const& document, std::uint64_t revision) const;
     /// Fetches the next missing values, or requests the check of the complete document.
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr duration gossip_interval{250};
+/// Between two times that several peers receive gossip at once. Documents that change in quick succession
+/// spread together.
+constexpr duration urgent_gossip_interval{80};
 constexpr duration lease_task_interval{10};
 constexpr duration peer_task_interval{50};
 constexpr duration cleanup_interval{5000};
@@ -292,11 +295,17 @@
     if (open.empty()) {
         return;
     }
-    bool const urgent = this->documents.consume_change_flag() || std::exchange(this->has_new_suspects, false);
+    bool const has_change = this->documents.consume_change_flag();
+    this->has_news = this->has_news || has_change || std::exchange(this->has_new_suspects, false);
+    bool const urgent = this->has_news && now >= this->next_urgent_gossip;
     if (now < this->next_gossip && !urgent) {
         return;
     }
     this->next_gossip = now + gossip_interval;
+    if (urgent) {
+        this->has_news = false;
+        this->next_urgent_gossip = now + urgent_gossip_interval;
+    }
     auto const count =
         urgent ? std::max(urgent_gossip_fanout, std::min<std::size_t>(open.size(), urgent_gossip_fanout * 4))
                : 1;
--- a/libraries/node/node_core.hpp
+++ b/libraries/node/node_core.hpp
@@ -75,12 +75,14 @@
     rate_tolerance tolerance;
     time_point last_event_time;
     time_point next_gossip;
+    time_point next_urgent_gossip;
     time_point next_lease_tasks;
     time_point reader_seen_at; ///< When a link to a reader of the platform was last open, or first expected.
     time_point next_peer_tasks;
     time_point next_cleanup;
     std::size_t next_gossip_index{0};
     bool has_new_suspects{false};
+    bool has_news{false}; ///< For gossip to several peers at once.
 };
 
 } // namespace caraway
--- a/tests/link/codec_test.cpp
+++ b/tests/link/codec_test.cpp
@@ -59,7 +59,7 @@
                               .manifest = any_text(),
                               .values = {{any_text(), any_text()}}};
     case 6:
-        return token_request_message{any_text(), 1, -5, 6, {{1, 2, 3}}};
+        return token_request_message{any_text(), 1, -5, -4, 6, {{1, 2, 3}}};
     default:
         return membership_reply_message{7, true, false, {any_text(), any_text()}};
     }
--- a/tests/node/document_replicator_test.cpp
+++ b/tests/node/document_replicator_test.cpp
@@ -155,3 +155,19 @@
     published.values.erase(published.values.begin());
     CHECK(count() == 0);
 }
+
+TEST_CASE("a document whose check was lost is checked again") {
+    // The queues to and from the checking thread are bounded, so a request or a result can be dropped.
+    effects out;
+    document_replicator replicator(out, {0}, true);
+    replicator.on_platform_document(document_kind::hosts, make_document(7), {100});
+    REQUIRE(out.document_checks.size() == 1);
+    out.document_checks.clear();
+    replicator.run_periodic_tasks({4000});
+    CHECK(out.document_checks.empty());
+    replicator.run_periodic_tasks({6000});
+    REQUIRE(out.document_checks.size() == 1);
+    CHECK(out.document_checks.front().revision == 7);
+    replicator.on_checked(document_kind::hosts, 7, true);
+    CHECK(replicator.revision(document_kind::hosts) == 7);
+}
