http, node: Read and log what a target states about itself

No log line or metric had the limit that a target states, nor how many requests it is sent, so the three hypotheses in docs/incidents/target-rate-limit.md could not be told apart. target_client reads the fields, the host beside the target logs and exports them; no logic changes.

--- a/libraries/http/http_dialect.hpp
+++ b/libraries/http/http_dialect.hpp
@@ -25,6 +25,9 @@
     // Read from answers of targets; a field with an empty name is not checked.
     std::string not_run;   ///< The target states that it did not run the request.
     std::string integrity; ///< Names a field that every answer produced by a target contains.
+    /// Requests per second that the target accepts from all hosts together, for as long as it states this.
+    std::string target_rate_limit{"X-Caraway-Rate-Limit"};
+    std::string target_leaving{"X-Caraway-Leaving"}; ///< "1": the target is about to end.
 
     /// Targets echo the request id; an answer with another id belongs to another request.
     bool checks_request_id{false};
--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -229,14 +229,21 @@
         if (is_other_instance) {
             return this->finish(outcome::not_run, result_code::target_replaced);
         }
+        auto const statement = read_target_statement(dialect, response);
         if (states_not_run) {
-            return this->finish(outcome::not_run, result_code::target_refused);
+            return this->deliver({.id = this->request.id,
+                                  .result = outcome::not_run,
+                                  .code = result_code::target_refused,
+                                  .statement = statement});
         }
         if (lacks_integrity || is_unconfirmed_not_run) {
             return this->finish(outcome::unknown, result_code::target_malformed);
         }
-        target_answer answer{
-            .id = this->request.id, .result = outcome::ran, .code = result_code::ok, .status = status};
+        target_answer answer{.id = this->request.id,
+                             .result = outcome::ran,
+                             .code = result_code::ok,
+                             .status = status,
+                             .statement = statement};
         for (auto const& field : response) {
             std::string_view const name(field.name_string().data(), field.name_string().size());
             if (!dialect.is_stripped(name)) {
--- a/libraries/http/target_client.hpp
+++ b/libraries/http/target_client.hpp
@@ -9,12 +9,14 @@
 #include "base/header_field.hpp"
 #include "base/result_code.hpp"
 #include "http/http_dialect.hpp"
+#include "http/target_statement.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -47,6 +49,8 @@
     std::uint16_t status{0};
     header_list headers;
     std::string body;
+    /// Empty when no answer of the wanted instance was read.
+    std::optional<target_statement> statement;
     bool refuses_connections{false}; ///< After a lost answer: no process listens at the target's address.
 };
 
--- /dev/null
+++ b/libraries/http/target_statement.hpp
@@ -0,0 +1,23 @@
+/// What a target states about itself in the header of an answer, whatever the request was.
+#pragma once
+
+#include <boost/beast/http/fields.hpp>
+
+#include <optional>
+
+namespace caraway {
+
+struct http_dialect;
+
+struct target_statement {
+    /// Requests per second that the target accepts from all hosts together; empty when it states no limit.
+    std::optional<double> rate_limit;
+    bool has_unreadable_rate_limit{false}; ///< The field is there, but no value of it is a rate.
+    bool leaving{false}; ///< The target accepts no new requests, because it is about to end.
+};
+
+/// Reads the fields that the dialect names. A rate is a finite decimal number that is not negative; of
+/// several rates the lowest counts.
+target_statement read_target_statement(http_dialect const& dialect, boost::beast::http::fields const& header);
+
+} // namespace caraway
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -33,7 +33,7 @@
 } // namespace
 
 executor::executor(node_context& shared, time_point started)
-    : context(shared), limiter(1), queue(min_queue_capacity), tickets(started) {}
+    : context(shared), local_target(shared), limiter(1), queue(min_queue_capacity), tickets(started) {}
 
 int executor::concurrency_limit() const {
     return this->context.has_full_control() ? this->limiter.limit() : this->slots;
@@ -224,6 +224,7 @@
     }
     work.span_id = trace_context::new_span_id();
     ++this->running;
+    this->local_target.record_sent(work.request.depth > 0 || work.request.is_nested_call);
     this->context.node_metrics.observe(latency_metric::queue, now - work.arrived);
     auto const left = work.deadline - now;
     target_request request{.id = work.id,
@@ -365,6 +366,9 @@
 }
 
 void executor::on_target_answer(target_answer&& answer, time_point now) {
+    if (answer.statement) {
+        this->local_target.on_statement(*answer.statement, now);
+    }
     auto* work = this->find(answer.id);
     if (work == nullptr) {
         return;
@@ -483,6 +487,7 @@
         this->refuse(id, result_code::queue_timeout, now);
     }
     this->start_queued(now);
+    this->local_target.run_periodic_tasks(now);
     this->controller.record_backlog(this->queue.size() > 0);
     this->controller.update_if_due(now);
     std::vector<std::uint64_t> overdue;
--- a/libraries/node/executor.hpp
+++ b/libraries/node/executor.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "node/node_context.hpp"
+#include "node/own_target.hpp"
 #include "policy/admission_controller.hpp"
 #include "policy/concurrency_limiter.hpp"
 #include "policy/ticket_store.hpp"
@@ -101,6 +102,7 @@
     std::size_t execution_count() const { return this->executions.size(); }
     std::size_t stored_ticket_count() const { return this->tickets.size(); }
     int concurrency_limit() const;
+    own_target const& target() const { return this->local_target; }
     admission_controller const& admission() const { return this->controller; }
 
 private:
@@ -123,6 +125,7 @@
     void start_next_suspect(time_point now);
 
     node_context& context;
+    own_target local_target;
     concurrency_limiter limiter;
     admission_controller controller;
     work_queue queue;
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -439,6 +439,8 @@
     node_metrics.set_gauge("target_in_flight", static_cast<double>(this->local_executor.in_flight()));
     node_metrics.set_gauge("target_queue", static_cast<double>(this->local_executor.queue_length()));
     node_metrics.set_gauge("target_limit", static_cast<double>(this->local_executor.concurrency_limit()));
+    node_metrics.set_gauge("target_rate_limit", this->local_executor.target().rate_limit().value_or(-1));
+    node_metrics.set_gauge("target_leaving", this->local_executor.target().is_leaving() ? 1 : 0);
     node_metrics.set_gauge("links_open", static_cast<double>(this->context.peers.connected_hosts().size()));
     node_metrics.set_gauge("requests_live", static_cast<double>(this->router.call_count()));
     snapshot->metrics_text = node_metrics.to_prometheus();
--- a/libraries/node/status_report.cpp
+++ b/libraries/node/status_report.cpp
@@ -74,7 +74,10 @@
                              {"counted", static_cast<int>(members.members().size())},
                              {"pools_owned", number(context.rate_leases.pool_count())},
                              {"lent_requests", to_requests(context.rate_leases.outstanding())}};
-    QJsonObject const target{{"in_flight", number(sources.local.in_flight())},
+    auto const stated_limit = sources.local.target().rate_limit();
+    QJsonObject const target{{"rate_limit", stated_limit ? QJsonValue(*stated_limit) : QJsonValue()},
+                             {"states_leaving", sources.local.target().is_leaving()},
+                             {"in_flight", number(sources.local.in_flight())},
                              {"queued", number(sources.local.queue_length())},
                              {"limit", sources.local.concurrency_limit()},
                              {"limiting", sources.local.admission().is_limiting()},
--- /dev/null
+++ b/tests/http/target_statement_test.cpp
@@ -0,0 +1,56 @@
+/// What a target states about itself in the header of an answer.
+#include "http/target_statement.hpp"
+
+#include "http/http_dialect.hpp"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace caraway;
+
+namespace {
+
+target_statement read(std::vector<std::string> const& limits, std::string const& leaving = {}) {
+    http_dialect const dialect{.target_rate_limit = "Limit", .target_leaving = "Leaving"};
+    boost::beast::http::fields header;
+    for (auto const& limit : limits) {
+        header.insert("Limit", limit);
+    }
+    if (!leaving.empty()) {
+        header.set("Leaving", leaving);
+    }
+    return read_target_statement(dialect, header);
+}
+
+} // namespace
+
+TEST_CASE("a stated limit is a finite decimal number that is not negative") {
+    CHECK(read({"16.8"}).rate_limit == 16.8);
+    CHECK(read({"0"}).rate_limit == 0.0);
+    CHECK(read({"0.25"}).rate_limit == 0.25);
+    CHECK(read({" 12 "}).rate_limit == 12.0);
+    CHECK(read({"1000000000000"}).rate_limit == 1e12);
+    CHECK_FALSE(read({}).rate_limit);
+    CHECK_FALSE(read({}).has_unreadable_rate_limit);
+}
+
+TEST_CASE("a value that is not a rate neither sets nor ends a limit") {
+    for (auto const* value : {"-1", "-0", "nan", "inf", "", "12/s", "1e3", "0x10"}) {
+        CAPTURE(value);
+        CHECK_FALSE(read({value}).rate_limit);
+        CHECK(read({value}).has_unreadable_rate_limit);
+    }
+}
+
+TEST_CASE("of several stated limits the lowest counts") {
+    CHECK(read({"20", "5.5"}).rate_limit == 5.5);
+    CHECK(read({"nan", "5.5"}).rate_limit == 5.5);
+}
+
+TEST_CASE("only the value 1 states that the target is leaving") {
+    CHECK(read({}, "1").leaving);
+    CHECK_FALSE(read({}, "0").leaving);
+    CHECK_FALSE(read({}).leaving);
+}
