--- a/tests/node/simulated_fleet.cpp
+++ b/tests/node/simulated_fleet.cpp
@@ -35,6 +35,7 @@
 struct simulated_fleet::node {
     settings options;
     fleet_plan::target_service service;
+    target_statement statement;
     std::unique_ptr<node_core> core;
     std::map<connection_id, link_end> links;
     connection_id next_accepted{connection_id{1} << 63U};
@@ -331,6 +332,7 @@
     } else {
         answer.result = outcome::ran;
         answer.status = 200;
+        answer.statement = entry.statement;
     }
     auto shared = std::make_shared<target_answer>(std::move(answer));
     this->pending_deliveries.emplace(
@@ -465,6 +467,10 @@
     this->handle_event(entry, phase_event{node_phase::draining});
 }
 
+void simulated_fleet::set_target_statement(std::string const& host, target_statement statement) {
+    this->nodes.at(host)->statement = statement;
+}
+
 std::size_t simulated_fleet::runs_of(std::string const& request_id) const {
     auto const& path = this->caller_results.at(request_id).path;
     return static_cast<std::size_t>(std::ranges::count_if(this->target_runs, [&](target_run const& run) {
--- a/tests/node/simulated_fleet.hpp
+++ b/tests/node/simulated_fleet.hpp
@@ -93,6 +93,8 @@
     void partition(std::string const& host, duration span);
     /// Starts draining; the process is killed after the plan's `drain_ms`.
     void terminate(std::string const& host);
+    /// What the host's target states in its answers from now on. It enforces nothing by itself.
+    void set_target_statement(std::string const& host, target_statement statement);
     /// Serves a new host list to every live host that is not partitioned.
     void publish_hosts(std::vector<listed_host> hosts);
     void publish_configuration(item_set const& items);
