node, policy, link: Pace requests to a target by the limit that it states

Cause: only slots and delay, both about concurrency, bounded what a target is sent; nothing read its statement.

Why this works: only the host beside a target sends to it, so it can hold the sum over all hosts. It now releases requests at the stated pace, whatever their kind, keeps queued what can still be accepted within the age limit, and tells the rest at once, with the time of their own turn. Entry nodes use their part of the limit and send the rest elsewhere. A restart of that host is covered by the peers, which tell it the limit in the first message on each link.

A test found a second fault on the way: a limit of 0 gave every sender a part of 0, so its end was never noticed.

--- a/libraries/base/result_code.cpp
+++ b/libraries/base/result_code.cpp
@@ -75,6 +75,10 @@
     {answer_lost, 502, "answer_lost",
      "The target closed the connection before it answered, and still takes new ones.",
      "The request may have run; don't resend unless the route is idempotent."},
+    {target_limited, 503, "target_limited",
+     "The target has stated how many requests per second it accepts, and others use these up; nothing was "
+     "run.",
+     "Wait for the time in Retry-After; look for 'rate_limit' of the host's target in 'status'."},
     {configuration_syntax, 0, "configuration_syntax", "The file is not well-formed TOML.",
      "Mend the line that the message names."},
     {configuration_unknown_name, 0, "configuration_unknown_name", "No setting has this name.",
--- a/libraries/base/result_code.hpp
+++ b/libraries/base/result_code.hpp
@@ -54,6 +54,7 @@
     target_refused = 314,
     target_replaced = 315,
     answer_lost = 316,
+    target_limited = 317,
 
     configuration_syntax = 400,
     configuration_unknown_name = 401,
--- a/libraries/link/message.hpp
+++ b/libraries/link/message.hpp
@@ -59,11 +59,18 @@
     std::uint32_t limit{0};     ///< Requests its target may run concurrently.
     bool leaving{false};
     bool serving{false};
+    /// Identifies the incarnation of its target that the fields below describe; 0 while the node does not
+    /// know what its target states.
+    std::uint32_t target{0};
+    bool target_is_limited{false};
+    std::uint32_t target_rate_limit{0}; ///< In thousandths of a request per second.
+    std::uint32_t target_senders{0};    ///< Hosts that sent requests for its target lately.
 
     template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->incarnation, this->ticket_window, this->in_flight, this->limit, this->leaving,
-                this->serving);
+                this->serving, this->target, this->target_is_limited, this->target_rate_limit,
+                this->target_senders);
     }
     bool operator==(host_report const&) const = default;
 };
@@ -194,16 +201,30 @@
     bool operator==(suspect_report const&) const = default;
 };
 
+/// What the sender knows of a target that states a limit.
+struct target_report {
+    std::uint32_t target{0};
+    std::uint32_t rate_limit{0}; ///< In thousandths of a request per second.
+    double age_ms{0};            ///< Time since the host beside the target reported it.
+
+    template <typename Visitor>
+    void visit(Visitor&& visitor) {
+        visitor(this->target, this->rate_limit, this->age_ms);
+    }
+    bool operator==(target_report const&) const = default;
+};
+
 /// State that spreads to every node eventually. `wants_answer` requests the receiver's state in return.
 struct gossip_message {
     host_report report;
     std::array<document_version, document_kind_count> documents;
     std::vector<suspect_report> suspects;
+    std::vector<target_report> targets;
     bool wants_answer{false};
 
     template <typename Visitor>
     void visit(Visitor&& visitor) {
-        visitor(this->report, this->documents, this->suspects, this->wants_answer);
+        visitor(this->report, this->documents, this->suspects, this->targets, this->wants_answer);
     }
 };
 
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -49,11 +49,32 @@
     int const configured = this->listed_slots > 0 ? this->listed_slots : own->slots;
     this->slots = std::max(1, std::min(configured, own->connections));
     this->limiter.set_slots(this->slots);
-    auto const scaled_capacity = [this](double factor) {
-        return std::max(min_queue_capacity, static_cast<std::size_t>(factor * this->slots));
+}
+
+void executor::update_queue_capacity(time_point now) {
+    auto const capacity = [this, now](double places_per_slot, bool is_nested) {
+        auto const by_slots =
+            std::max(min_queue_capacity, static_cast<std::size_t>(places_per_slot * this->slots));
+        if (!this->local_target.is_pacing(now)) {
+            return by_slots;
+        }
+        // What waits behind more requests than the target accepts within the age limit would wait in vain.
+        double const accepted_in_time =
+            this->local_target.pace(now) * work_queue::age_limit(is_nested).seconds();
+        return std::clamp(static_cast<std::size_t>(accepted_in_time), std::size_t{1}, by_slots);
     };
-    this->queue.set_capacity(scaled_capacity(queue_places_per_slot),
-                             scaled_capacity(nested_queue_places_per_slot));
+    this->queue.set_capacity(capacity(queue_places_per_slot, false),
+                             capacity(nested_queue_places_per_slot, true));
+}
+
+bool executor::would_expire_in_queue(queued_work const& work, time_point now) const {
+    auto const turn = this->local_target.time_until_token(0, now);
+    return turn >= work_queue::age_limit(work.is_nested) || now + turn >= work.deadline;
+}
+
+result_code executor::queue_refusal(result_code without_limit, time_point now) const {
+    bool const has_free_slot = this->running < static_cast<std::size_t>(this->concurrency_limit());
+    return this->local_target.is_pacing(now) && has_free_slot ? result_code::target_limited : without_limit;
 }
 
 void executor::set_listed_slots(int count) {
@@ -107,6 +128,7 @@
     work.arrived = now;
     work.deadline = now + duration{work.request.deadline_ms};
     work.allowance = retry_allowance(work.request.allowance);
+    this->local_target.record_sender(from, now);
     if (this->context.configuration == nullptr) {
         return this->refuse_new(work, result_code::not_ready,
                                 work.is_idempotent() ? outcome::not_run : outcome::not_forwarded, now);
@@ -200,7 +222,8 @@
         this->waiting_suspects.push_back(id);
         return this->start_next_suspect(now);
     }
-    bool const has_free_slot = this->running < capacity && this->queue.size() == 0;
+    bool const has_free_slot =
+        this->running < capacity && this->queue.size() == 0 && this->local_target.may_send(now);
     this->controller.record_backlog(!has_free_slot);
     if (has_free_slot) {
         return this->start(entry->second, now);
@@ -208,9 +231,13 @@
     if (this->context.options.mode == control_mode::per_host) {
         return this->refuse(id, result_code::node_busy, now);
     }
+    if (this->would_expire_in_queue(queue_entry, now)) {
+        return this->refuse(id, result_code::target_limited, now);
+    }
+    this->update_queue_capacity(now);
     auto const evicted = this->queue.push(queue_entry);
     if (evicted != 0) {
-        this->refuse(evicted, result_code::overloaded, now);
+        this->refuse(evicted, this->queue_refusal(result_code::overloaded, now), now);
     }
 }
 
@@ -224,7 +251,7 @@
     }
     work.span_id = trace_context::new_span_id();
     ++this->running;
-    this->local_target.record_sent(work.request.depth > 0 || work.request.is_nested_call);
+    this->local_target.record_sent(work.request.depth > 0 || work.request.is_nested_call, now);
     this->context.node_metrics.observe(latency_metric::queue, now - work.arrived);
     auto const left = work.deadline - now;
     target_request request{.id = work.id,
@@ -249,7 +276,8 @@
 }
 
 void executor::start_next_suspect(time_point now) {
-    while (this->running_suspect == 0 && !this->waiting_suspects.empty()) {
+    while (this->running_suspect == 0 && !this->waiting_suspects.empty() &&
+           this->local_target.may_send(now)) {
         auto* next = this->find(this->waiting_suspects.front());
         this->waiting_suspects.pop_front();
         if (next == nullptr) {
@@ -270,7 +298,7 @@
     this->start_next_suspect(now);
     std::vector<std::uint64_t> late;
     auto const capacity = static_cast<std::size_t>(this->concurrency_limit());
-    while (this->running < capacity) {
+    while (this->running < capacity && this->local_target.may_send(now)) {
         auto const id = this->queue.pop(now, late);
         if (id == 0) {
             break;
@@ -278,7 +306,7 @@
         this->start(this->executions.at(id), now);
     }
     for (auto const id : late) {
-        this->refuse(id, result_code::queue_timeout, now);
+        this->refuse(id, this->queue_refusal(result_code::queue_timeout, now), now);
     }
 }
 
@@ -287,8 +315,11 @@
     if (work == nullptr) {
         return;
     }
-    this->finish(*work, {.result = outcome::not_run, .code = code, .retry_after_ms = refusal_retry_after_ms},
-                 now);
+    double const retry_after_ms =
+        code == result_code::target_limited
+            ? this->local_target.record_refusal(this->queue.size(), now).milliseconds
+            : refusal_retry_after_ms;
+    this->finish(*work, {.result = outcome::not_run, .code = code, .retry_after_ms = retry_after_ms}, now);
 }
 
 void executor::refuse_new(execution& work, result_code code, outcome result, time_point now) {
@@ -366,13 +397,13 @@
 }
 
 void executor::on_target_answer(target_answer&& answer, time_point now) {
-    if (answer.statement) {
-        this->local_target.on_statement(*answer.statement, now);
-    }
     auto* work = this->find(answer.id);
     if (work == nullptr) {
         return;
     }
+    if (answer.statement) {
+        this->local_target.on_statement(*answer.statement, work->request.instance, now);
+    }
     auto const elapsed = now - work->started;
     this->context.node_metrics.observe(latency_metric::target, elapsed);
     auto const nested = work->nested_call_time +
@@ -484,7 +515,7 @@
     std::vector<std::uint64_t> late;
     this->queue.remove_expired(now, late);
     for (auto const id : late) {
-        this->refuse(id, result_code::queue_timeout, now);
+        this->refuse(id, this->queue_refusal(result_code::queue_timeout, now), now);
     }
     this->start_queued(now);
     this->local_target.run_periodic_tasks(now);
--- a/libraries/node/executor.hpp
+++ b/libraries/node/executor.hpp
@@ -95,6 +95,7 @@
     void apply_configuration();
     /// Sets how many requests the own target runs at once according to the host list; 0 when it does not say.
     void set_listed_slots(int count);
+    own_target& target() { return this->local_target; }
 
     std::uint64_t ticket_window(time_point now) { return this->tickets.current_window(now); }
     std::size_t in_flight() const { return this->running; }
@@ -111,6 +112,10 @@
     void admit(execution&& work, time_point now);
     void start(execution& work, time_point now);
     void start_queued(time_point now);
+    /// Fits the queue to the slots of the target and to the pace at which it accepts requests.
+    void update_queue_capacity(time_point now);
+    /// Why a request that found no place in the queue, or waited there for too long, is refused.
+    result_code queue_refusal(result_code without_limit, time_point now) const;
     /// Ends a stored execution without running it.
     void refuse(std::uint64_t id, result_code code, time_point now);
     /// Refuses a request before it is stored as an execution.
@@ -122,6 +127,8 @@
     span make_span(execution const& work, answer_message const& answer) const;
     std::vector<admission_report> admission_reports(execution const& work) const;
     double weight_of(std::string const& organisation) const;
+    /// Whether a request that is queued now would reach its age limit before the target accepts it.
+    bool would_expire_in_queue(queued_work const& work, time_point now) const;
     void start_next_suspect(time_point now);
 
     node_context& context;
--- a/libraries/node/host_list.cpp
+++ b/libraries/node/host_list.cpp
@@ -31,6 +31,9 @@
     if (!entry.instance.empty()) {
         object.insert("instance", to_qstring(entry.instance));
     }
+    if (entry.started_ms > 0) {
+        object.insert("started_ms", static_cast<double>(entry.started_ms));
+    }
     if (entry.slots > 0) {
         object.insert("slots", entry.slots);
     }
@@ -50,6 +53,8 @@
                       .link = object.value("link").toString().toStdString(),
                       .leaving = object.value("state").toString() == "leaving",
                       .instance = object.value("instance").toString().toStdString(),
+                      .started_ms =
+                          static_cast<std::uint64_t>(std::max(0.0, object.value("started_ms").toDouble())),
                       .slots = std::max(0, object.value("slots").toInt()),
                       .warm_up_ms = std::max(0.0, object.value("warm_up_ms").toDouble()),
                       .unconfirmed = object.value("unconfirmed").toBool()};
--- a/libraries/node/host_list.hpp
+++ b/libraries/node/host_list.hpp
@@ -14,8 +14,9 @@
     std::string service;
     std::string link; ///< IP:PORT.
     bool leaving{false};
-    std::string instance; ///< Identifies this incarnation of the target; empty when not listed.
-    int slots{0};         ///< Requests that the target runs concurrently; 0 when not listed.
+    std::string instance;        ///< Identifies this incarnation of the target; empty when not listed.
+    std::uint64_t started_ms{0}; ///< When the target started, in Unix milliseconds; 0 when not listed.
+    int slots{0};                ///< Requests that the target runs concurrently; 0 when not listed.
     /// Remaining warm-up time of the target when the entry was written.
     /// FIXME: A target that is still warming up should get less work than target_chooser gives to any host
     ///        that it has just begun to use.
--- a/libraries/node/node_context.hpp
+++ b/libraries/node/node_context.hpp
@@ -11,6 +11,7 @@
 #include "policy/retry_allowance.hpp"
 #include "policy/service_retry_budget.hpp"
 #include "policy/target_chooser.hpp"
+#include "policy/target_state_table.hpp"
 #include "telemetry/metrics.hpp"
 
 #include <deque>
@@ -58,6 +59,15 @@
                now - this->draining_since >= duration{this->options.drain_ms} * draining_admission_fraction;
     }
 
+    /// Stores what a host, which may be this one, reports about itself and its target.
+    void record_report(std::string const& from, host_report const& report, time_point now) {
+        this->peers.on_report(from, report, now);
+        constexpr double thousandths = 1000;
+        auto const rate_limit =
+            report.target_is_limited ? std::optional(report.target_rate_limit / thousandths) : std::nullopt;
+        this->targets.record_report(report.target, rate_limit, report.target_senders, now);
+    }
+
     bool has_full_control() const { return this->options.mode == control_mode::full; }
 
     settings options;
@@ -66,6 +76,7 @@
     time_point draining_since;
     configuration_pointer configuration;
     std::string own_target_instance; ///< The instance of the own target that the host list names.
+    target_id own_target_id{0};      ///< Its incarnation; 0 while the host list does not name it.
     bool target_is_leaving{false};   ///< The own target accepts no new work, by the host list.
     effects pending_effects;
     std::deque<received_message> loopback_messages;
@@ -74,6 +85,7 @@
     local_rate_share local_rates;
     admission_view admissions;
     target_chooser chooser;
+    target_state_table targets;
     organisation_retry_budget organisation_retries;
     service_retry_budget service_retries;
     quarantine request_quarantine;
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -26,6 +26,9 @@
 /// fleet that starts would otherwise watch the platform until their links are open.
 constexpr duration reader_link_grace{1500};
 constexpr std::size_t max_gossiped_suspects = 64;
+constexpr std::size_t max_gossiped_targets = 64;
+/// Messages give rate limits in thousandths of a request per second.
+constexpr double rate_limit_unit = 1000;
 
 template <typename... Handlers>
 struct lambda_visitor : Handlers... {
@@ -62,14 +65,16 @@
 }
 
 host_report node_core::own_report(time_point now) {
-    return {.incarnation = this->context.incarnation,
-            .ticket_window = this->local_executor.ticket_window(now),
-            .in_flight = static_cast<std::uint32_t>(this->local_executor.in_flight() +
-                                                    this->local_executor.queue_length()),
-            .limit = static_cast<std::uint32_t>(this->local_executor.concurrency_limit()),
-            .leaving =
-                this->context.phase == node_phase::draining || this->context.phase == node_phase::stopped,
-            .serving = this->context.phase == node_phase::serving && this->context.configuration != nullptr};
+    host_report report{
+        .incarnation = this->context.incarnation,
+        .ticket_window = this->local_executor.ticket_window(now),
+        .in_flight = static_cast<std::uint32_t>(this->local_executor.in_flight() +
+                                                this->local_executor.queue_length()),
+        .limit = static_cast<std::uint32_t>(this->local_executor.concurrency_limit()),
+        .leaving = this->context.phase == node_phase::draining || this->context.phase == node_phase::stopped,
+        .serving = this->context.phase == node_phase::serving && this->context.configuration != nullptr};
+    this->local_executor.target().describe(report);
+    return report;
 }
 
 void node_core::handle(core_event&& event, time_point now) {
@@ -100,10 +105,10 @@
     switch (event.kind) {
     case link_event_kind::opened:
         if (this->context.peers.on_opened(event, now)) {
+            // The first message on the connection, so that a host that has restarted learns what its target
+            // states before it gets requests from this one.
             this->context.pending_effects.messages.push_back(
-                {event.connection, gossip_message{.report = this->own_report(now),
-                                                  .documents = this->documents.versions(),
-                                                  .wants_answer = true}});
+                {event.connection, this->make_gossip(true, now)});
         }
         return;
     case link_event_kind::closed:
@@ -132,9 +137,13 @@
             [&](answer_message& answer) { this->router.on_answer(from, std::move(answer), now); },
             [&](cancel_message& cancel) { this->local_executor.cancel(from, cancel.call_id, now); },
             [&](ping_message& ping) {
+                this->context.record_report(from, ping.report, now);
                 this->context.peers.on_ping(from, received.connection, ping, this->own_report(now), now);
             },
-            [&](pong_message& pong) { this->context.peers.on_pong(from, received.connection, pong, now); },
+            [&](pong_message& pong) {
+                this->context.record_report(from, pong.report, now);
+                this->context.peers.on_pong(from, received.connection, pong, now);
+            },
             [&](gossip_message&) { this->on_gossip(received, now); },
             [&](fetch_message& fetch) { this->documents.on_fetch(from, fetch); },
             [&](values_message& values) { this->documents.on_values(from, values, now); },
@@ -149,7 +158,13 @@
 
 void node_core::on_gossip(received_message const& received, time_point now) {
     auto const& gossip = std::get<gossip_message>(received.content);
-    this->context.peers.on_report(received.from, gossip.report, now);
+    this->context.record_report(received.from, gossip.report, now);
+    for (auto const& reported : gossip.targets) {
+        double const rate_limit = reported.rate_limit / rate_limit_unit;
+        this->local_executor.target().adopt(reported.target, rate_limit, now);
+        this->context.targets.merge(
+            reported.target, {.rate_limit = rate_limit, .updated = now - duration{reported.age_ms}}, now);
+    }
     this->documents.on_gossip(received.from, gossip, now);
     for (auto const& reported : gossip.suspects) {
         bool const is_new = this->context.request_quarantine.merge(reported.fingerprint, reported.crash_count,
@@ -255,6 +270,8 @@
     auto const own = std::ranges::find(this->hosts, this->context.options.host, &listed_host::host);
     bool const is_listed = own != this->hosts.end();
     this->context.own_target_instance = is_listed ? own->instance : "";
+    this->local_executor.target().on_listed(
+        is_listed ? make_target_id(own->host, own->instance, own->started_ms) : 0, now);
     // A list that names other hosts but not this one means that its target has left without notice.
     this->context.target_is_leaving = is_listed ? own->leaving : !this->hosts.empty();
     this->local_executor.set_listed_slots(is_listed ? own->slots : 0);
@@ -277,7 +294,7 @@
     }
 }
 
-void node_core::send_gossip(std::string const& host, bool wants_answer, time_point now) {
+gossip_message node_core::make_gossip(bool wants_answer, time_point now) {
     gossip_message content{.report = this->own_report(now),
                            .documents = this->documents.versions(),
                            .wants_answer = wants_answer};
@@ -287,7 +304,18 @@
                 {entry.fingerprint, entry.crashes, (now - entry.last_crash).milliseconds});
         }
     }
-    this->context.send_to_host(host, std::move(content), now);
+    for (auto const& [target, state] : this->context.targets.limited_targets(now)) {
+        if (content.targets.size() < max_gossiped_targets) {
+            content.targets.push_back(
+                {target, static_cast<std::uint32_t>(std::llround(*state.rate_limit * rate_limit_unit)),
+                 (now - state.updated).milliseconds});
+        }
+    }
+    return content;
+}
+
+void node_core::send_gossip(std::string const& host, bool wants_answer, time_point now) {
+    this->context.send_to_host(host, this->make_gossip(wants_answer, now), now);
 }
 
 void node_core::gossip_if_due(time_point now) {
@@ -364,6 +392,7 @@
     if (now >= this->next_cleanup) {
         this->next_cleanup = now + cleanup_interval;
         this->context.admissions.remove_expired(now);
+        this->context.targets.remove_expired(now);
         this->context.request_quarantine.remove_expired(now);
         this->router.remove_expired(now);
     }
--- a/libraries/node/node_core.hpp
+++ b/libraries/node/node_core.hpp
@@ -62,6 +62,7 @@
     void configure_rate_limits(time_point now);
     /// Sends gossip to the next peer when the interval has passed, or to several at once when there is news.
     void gossip_if_due(time_point now);
+    gossip_message make_gossip(bool wants_answer, time_point now);
     void send_gossip(std::string const& host, bool wants_answer, time_point now);
     /// Sends outgoing messages and handles messages of this node to itself, until none is left.
     void process_pending(time_point now);
--- a/libraries/node/own_target.cpp
+++ b/libraries/node/own_target.cpp
@@ -1,5 +1,6 @@
 #include "node/own_target.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -8,19 +9,39 @@
 namespace {
 
 constexpr duration log_interval{1000};
+/// A host that has sent nothing for this long does not take part in the limit.
+constexpr duration sender_lifetime{2000};
+constexpr duration max_return_delay{30'000};
+constexpr double thousandths = 1000;
+constexpr double max_reported_limit = 1e6;
 
 std::string rate_text(std::optional<double> limit) {
-    constexpr double thousandths = 1000;
     return limit ? std::to_string(std::round(*limit * thousandths) / thousandths) : "none";
 }
 
 } // namespace
 
-void own_target::on_statement(target_statement const& statement, time_point) {
+void own_target::on_listed(target_id listed, time_point now) {
+    if (listed == this->context.own_target_id) {
+        return;
+    }
+    this->context.own_target_id = listed;
+    this->set_rate_limit(std::nullopt, "new_incarnation", now);
+    this->limiter.reset();
+    this->is_known = false;
+    this->leaving = false;
+}
+
+void own_target::on_statement(target_statement const& statement, std::string const& instance,
+                              time_point now) {
+    if (instance != this->context.own_target_instance) {
+        return; // A late answer of an earlier incarnation.
+    }
+    this->is_known = true;
     if (statement.has_unreadable_rate_limit) {
         this->context.node_metrics.increment_counter("target_limits_unreadable");
     } else {
-        this->set_rate_limit(statement.rate_limit);
+        this->set_rate_limit(statement.rate_limit, "target", now);
     }
     if (statement.leaving && !this->leaving) {
         this->context.pending_effects.log(log_level::info, "target_leaving_stated",
@@ -29,39 +50,79 @@
     this->leaving = statement.leaving;
 }
 
-void own_target::set_rate_limit(std::optional<double> limit) {
+void own_target::adopt(target_id target, double rate_limit, time_point now) {
+    bool const is_wanted = !this->is_known && target != 0 && target == this->context.own_target_id;
+    if (is_wanted) {
+        this->is_known = true;
+        this->set_rate_limit(rate_limit, "peer", now);
+    }
+}
+
+void own_target::set_rate_limit(std::optional<double> limit, std::string const& source, time_point now) {
     if (limit.has_value() != this->stated_limit.has_value()) {
+        this->limited_since = now;
         this->context.pending_effects.log(log_level::info, "target_limit_stated",
                                           {{"limit", rate_text(limit)},
                                            {"before", rate_text(this->stated_limit)},
-                                           {"instance", this->context.own_target_instance}});
+                                           {"instance", this->context.own_target_instance},
+                                           {"source", source}});
     }
     this->stated_limit = limit;
+    if (limit) {
+        this->limiter.set_limit(*limit, now);
+    } else {
+        this->limiter.release(now);
+    }
 }
 
-void own_target::record_sent(bool nested) {
-    ++this->sent.all;
-    this->sent.nested += nested ? 1 : 0;
+void own_target::record_sent(bool nested, time_point now) {
+    this->limiter.record_sent(now);
+    ++this->since_log.sent;
+    this->since_log.nested += nested ? 1 : 0;
     this->context.node_metrics.increment_counter("target_requests");
 }
 
+duration own_target::record_refusal(std::size_t queued, time_point now) {
+    ++this->since_log.refused;
+    this->context.node_metrics.increment_counter("target_limit_refusals");
+    auto const turn = std::max(now + this->limiter.time_until_token(queued, now), this->next_return);
+    this->next_return =
+        std::min(turn + this->limiter.time_until_token(1, now) - this->limiter.time_until_token(0, now),
+                 now + max_return_delay);
+    return turn - now;
+}
+
+void own_target::describe(host_report& report) const {
+    report.target = this->is_known ? this->context.own_target_id : 0;
+    report.target_is_limited = this->stated_limit.has_value();
+    if (this->stated_limit) {
+        double const limit = std::min(*this->stated_limit, max_reported_limit);
+        report.target_rate_limit = static_cast<std::uint32_t>(std::llround(limit * thousandths));
+        report.target_senders = static_cast<std::uint32_t>(this->senders.size());
+    }
+}
+
 void own_target::run_periodic_tasks(time_point now) {
     if (now - this->logged_at >= log_interval) {
-        this->log_sent(now);
+        std::erase_if(this->senders,
+                      [now](auto const& sender) { return now - sender.second >= sender_lifetime; });
+        this->log_counts(now);
     }
 }
 
-void own_target::log_sent(time_point now) {
+void own_target::log_counts(time_point now) {
     auto const span = now - this->logged_at;
-    auto const counts = std::exchange(this->sent, {});
+    auto const totals = std::exchange(this->since_log, {});
     this->logged_at = now;
     if (!this->stated_limit) {
         return;
     }
     this->context.pending_effects.log(log_level::info, "target_limit",
                                       {{"limit", rate_text(this->stated_limit)},
-                                       {"sent", std::to_string(counts.all)},
-                                       {"nested", std::to_string(counts.nested)},
+                                       {"sent", std::to_string(totals.sent)},
+                                       {"nested", std::to_string(totals.nested)},
+                                       {"refused", std::to_string(totals.refused)},
+                                       {"senders", std::to_string(this->senders.size())},
                                        {"span_ms", std::to_string(std::llround(span.milliseconds))}});
 }
 
--- a/libraries/node/peer_table.cpp
+++ b/libraries/node/peer_table.cpp
@@ -78,6 +78,7 @@
             peer.next_dial = now;
         }
         peer.info.entry = entry;
+        peer.info.target = make_target_id(entry.host, entry.instance, entry.started_ms);
         peer.info.listed = true;
     }
     for (auto& [name, peer] : this->peers) {
--- a/libraries/node/peer_table.hpp
+++ b/libraries/node/peer_table.hpp
@@ -8,6 +8,7 @@
 #include "node/effects.hpp"
 #include "node/host_list.hpp"
 #include "policy/target_chooser.hpp"
+#include "policy/target_state_table.hpp"
 
 #include <deque>
 #include <map>
@@ -20,6 +21,7 @@
 
 struct peer_info {
     listed_host entry;
+    target_id target{0}; ///< The incarnation of its target that the host list names.
     bool listed{false};
     host_report report;
     time_point report_time; ///< When `report` was received.
--- a/libraries/node/request_router.cpp
+++ b/libraries/node/request_router.cpp
@@ -37,7 +37,8 @@
 
 bool is_refusal(answer_message const& answer) {
     return answer.code == result_code::overloaded || answer.code == result_code::queue_timeout ||
-           answer.code == result_code::node_busy || answer.code == result_code::target_refused;
+           answer.code == result_code::node_busy || answer.code == result_code::target_refused ||
+           answer.code == result_code::target_limited;
 }
 
 /// Whether the request reached a target, so that another attempt counts as a retry for its service.
@@ -52,7 +53,7 @@
     return code == result_code::leaving || code == result_code::target_unreachable ||
            code == result_code::node_busy || code == result_code::not_ready ||
            code == result_code::queue_timeout || code == result_code::target_refused ||
-           code == result_code::target_replaced;
+           code == result_code::target_replaced || code == result_code::target_limited;
 }
 
 /// Whether another attempt of an idempotent request is likely to succeed. A crash is not retried: if the
@@ -418,7 +419,7 @@
     return counts;
 }
 
-std::optional<std::string> request_router::choose_host(pending_call const& call, time_point now) {
+std::vector<candidate_host> request_router::candidates_for(pending_call const& call, time_point now) {
     auto candidates = this->context.peers.candidates(call.service, now);
     bool const own = call.service == this->context.options.service &&
                      this->context.phase == node_phase::serving && !this->context.target_is_leaving;
@@ -426,7 +427,34 @@
         auto const report = this->context.make_own_report();
         candidates.push_back({this->context.options.host, true, report.in_flight, report.limit, {0}});
     }
-    return this->context.chooser.choose(candidates, call.idempotent, random_number(), now);
+    auto const is_unlimited = [this](candidate_host const& candidate) {
+        return !this->context.targets.rate_limit(this->target_of(candidate.host));
+    };
+    // After such a refusal the next attempt may be the last, so it goes to a target that has stated no limit.
+    bool const needs_unlimited = call.was_refused_for_limit && std::ranges::any_of(candidates, is_unlimited);
+    for (auto& candidate : candidates) {
+        candidate.has_room = needs_unlimited
+                                 ? is_unlimited(candidate)
+                                 : this->context.targets.has_room(this->target_of(candidate.host), now);
+    }
+    return candidates;
+}
+
+std::optional<std::string> request_router::choose_host(pending_call const& call, time_point now) {
+    return this->context.chooser.choose(this->candidates_for(call, now), call.idempotent, random_number(),
+                                        now);
+}
+
+bool request_router::has_target_with_room(pending_call const& call, time_point now) {
+    return std::ranges::any_of(this->candidates_for(call, now), &candidate_host::has_room);
+}
+
+target_id request_router::target_of(std::string const& host) const {
+    if (host == this->context.options.host) {
+        return this->context.own_target_id;
+    }
+    auto const* peer = this->context.peers.find(host);
+    return peer == nullptr ? 0 : peer->target;
 }
 
 std::string request_router::instance_of(std::string const& host) const {
@@ -537,13 +565,22 @@
     call.stage = pending_call::call_stage::in_flight;
     this->by_call_id[call.call_id] = call.id;
     this->context.chooser.record_sent(host, now);
+    this->context.targets.record_sent(this->target_of(host), now);
 }
 
 void request_router::record_reports(pending_call const& call, std::string const& from,
                                     answer_message const& answer, time_point now) {
-    this->context.peers.on_report(from, answer.report, now);
+    this->context.record_report(from, answer.report, now);
+    if (answer.code == result_code::target_limited) {
+        this->context.targets.record_refusal(answer.report.target, now);
+    }
     auto* parent = this->local_executor.find(call.parent != 0 ? call.parent : call.inferred_parent);
+    // A host whose target has stated a limit refuses what the other targets of the service may still accept.
+    bool const others_have_room = answer.report.target_is_limited && this->has_target_with_room(call, now);
     for (auto const& report : answer.admissions) {
+        if (others_have_room && report.service == call.service) {
+            continue;
+        }
         this->context.admissions.update(call.request.route, report.service, call.request.organisation,
                                         report.admission_fractions, now);
         if (parent == nullptr) {
@@ -557,7 +594,7 @@
     }
 }
 
-bool request_router::try_acquire_retry(pending_call& call, answer_message const& answer) {
+bool request_router::try_acquire_retry(pending_call& call, answer_message const& answer, time_point now) {
     bool const is_root_ticket = call.needs_ticket && call.parent == 0;
     // The caller may send its ticket again; a retry elsewhere under a new ticket could then run it twice.
     if (is_root_ticket || call.caller_disconnected) {
@@ -570,6 +607,11 @@
         return false;
     }
     auto& allowance = this->allowance_of(call);
+    if (answer.code == result_code::target_limited) {
+        // Nothing reached a target, so that the budgets against repeats are not charged.
+        call.was_refused_for_limit = true;
+        return this->has_target_with_room(call, now) && allowance.try_consume();
+    }
     if (allowance.remaining() <= 0 ||
         !this->context.organisation_retries.try_consume(call.request.organisation)) {
         return false;
@@ -594,7 +636,7 @@
     this->record_reports(call, from, answer, now);
     this->allowance_of(call).return_unused(answer.allowance_left, call.sent_allowance);
     call.sent_allowance = 0;
-    if (!this->try_acquire_retry(call, answer)) {
+    if (!this->try_acquire_retry(call, answer, now)) {
         return this->finish_call(call, std::move(answer), now);
     }
     this->context.node_metrics.increment_counter("retries");
@@ -634,7 +676,7 @@
         this->context.chooser.record_answer(call.attempt_host, now - call.sent, true, false, now);
         // The lost host may have spent the part of the allowance sent to it, so it is not returned.
         call.sent_allowance = 0;
-        if (!this->try_acquire_retry(call, lost)) {
+        if (!this->try_acquire_retry(call, lost, now)) {
             this->finish_call(call, std::move(lost), now);
             continue;
         }
@@ -690,6 +732,7 @@
          {"host", call.attempt_host},
          {"held_ms", rounded((now - call.arrived).milliseconds)},
          {"left_ms", rounded((call.deadline - now).milliseconds)},
+         {"retry_after_ms", rounded(answer.retry_after_ms)},
          {"attempts_left", std::to_string(call.allowance.remaining())},
          {"configuration", std::to_string(this->context.configuration->revision())}});
 }
--- a/libraries/node/request_router.hpp
+++ b/libraries/node/request_router.hpp
@@ -44,9 +44,10 @@
     int sent_allowance{0};     ///< Part of the allowance that was sent with the attempt in flight.
     std::string attempt_host;
     connection_id connection{0};
-    std::uint64_t call_id{0}; ///< Of the latest attempt; each attempt has its own.
-    time_point sent;          ///< When the latest attempt was sent.
-    bool was_sent{false};     ///< An attempt was sent and may have reached its host.
+    std::uint64_t call_id{0};          ///< Of the latest attempt; each attempt has its own.
+    time_point sent;                   ///< When the latest attempt was sent.
+    bool was_sent{false};              ///< An attempt was sent and may have reached its host.
+    bool was_refused_for_limit{false}; ///< A target of the service had no room for it within its limit.
     bool caller_disconnected{false};
     bool is_target_retry{false}; ///< The target has already made a call with this idempotency key.
     int resends{0};              ///< Further transmissions of the same ticket.
@@ -113,7 +114,14 @@
     void send_attempt(pending_call& call, std::string const& host, time_point now);
     /// Spends one retry of the call's allowance and of the organisation's and the service's budgets. False
     /// when the answer must not be retried, or a budget is exhausted.
-    bool try_acquire_retry(pending_call& call, answer_message const& answer);
+    bool try_acquire_retry(pending_call& call, answer_message const& answer, time_point now);
+    /// The hosts that can run a request of the call's service.
+    std::vector<candidate_host> candidates_for(pending_call const& call, time_point now);
+    /// Whether a target of the call's service accepts another request of this node, by the limits that are
+    /// known.
+    bool has_target_with_room(pending_call const& call, time_point now);
+    /// The incarnation of the host's target; 0 when the host list names none.
+    target_id target_of(std::string const& host) const;
     /// The allowance that the call's retries are taken from: its parent's, else its own.
     retry_allowance& allowance_of(pending_call& call);
     /// Stores the host report and the admission fractions that came with an answer.
--- a/libraries/node/status_report.cpp
+++ b/libraries/node/status_report.cpp
@@ -25,7 +25,9 @@
         if (peer == nullptr || name == context.options.host) {
             continue;
         }
+        auto const rate_limit = context.targets.rate_limit(peer->target);
         rows.append(QJsonObject{{"host", to_qstring(name)},
+                                {"target_rate_limit", rate_limit ? QJsonValue(*rate_limit) : QJsonValue()},
                                 {"failure_domain", to_qstring(peer->entry.failure_domain)},
                                 {"service", to_qstring(peer->entry.service)},
                                 {"link", context.peers.is_connected(name) ? "open" : "closed"},
@@ -75,14 +77,18 @@
                              {"pools_owned", number(context.rate_leases.pool_count())},
                              {"lent_requests", to_requests(context.rate_leases.outstanding())}};
     auto const stated_limit = sources.local.target().rate_limit();
-    QJsonObject const target{{"rate_limit", stated_limit ? QJsonValue(*stated_limit) : QJsonValue()},
-                             {"states_leaving", sources.local.target().is_leaving()},
-                             {"in_flight", number(sources.local.in_flight())},
-                             {"queued", number(sources.local.queue_length())},
-                             {"limit", sources.local.concurrency_limit()},
-                             {"limiting", sources.local.admission().is_limiting()},
-                             {"capacity_per_second", sources.local.admission().capacity_per_second()},
-                             {"tickets", number(sources.local.stored_ticket_count())}};
+    QJsonObject const target{
+        {"rate_limit", stated_limit ? QJsonValue(*stated_limit) : QJsonValue()},
+        {"limited_for_ms",
+         stated_limit ? QJsonValue(sources.local.target().limited_for(now).milliseconds) : QJsonValue()},
+        {"limit_refusals", number(context.node_metrics.counter("target_limit_refusals"))},
+        {"states_leaving", sources.local.target().is_leaving()},
+        {"in_flight", number(sources.local.in_flight())},
+        {"queued", number(sources.local.queue_length())},
+        {"limit", sources.local.concurrency_limit()},
+        {"limiting", sources.local.admission().is_limiting()},
+        {"capacity_per_second", sources.local.admission().capacity_per_second()},
+        {"tickets", number(sources.local.stored_ticket_count())}};
     QJsonObject const status{
         {"host", to_qstring(context.options.host)},
         {"failure_domain", to_qstring(context.options.failure_domain)},
--- a/libraries/policy/target_chooser.cpp
+++ b/libraries/policy/target_chooser.cpp
@@ -145,8 +145,13 @@
                                                   bool idempotent, std::uint64_t random, time_point now) {
     std::vector<candidate_host const*> own_domain;
     std::vector<candidate_host const*> other_domains;
+    // Targets without room are used only when no other is left: the host beside the target then decides.
+    bool const some_have_room = std::ranges::any_of(candidates, [&](candidate_host const& candidate) {
+        return candidate.has_room && this->may_use(candidate.host, idempotent, now);
+    });
     for (auto const& candidate : candidates) {
-        if (this->may_use(candidate.host, idempotent, now)) {
+        bool const is_preferred = candidate.has_room || !some_have_room;
+        if (is_preferred && this->may_use(candidate.host, idempotent, now)) {
             (candidate.same_domain ? own_domain : other_domains).push_back(&candidate);
         }
     }
--- a/libraries/policy/target_chooser.hpp
+++ b/libraries/policy/target_chooser.hpp
@@ -19,6 +19,7 @@
     std::uint32_t reported_in_flight{0};
     std::uint32_t limit{1};
     duration report_age{0};
+    bool has_room{true}; ///< Whether the limit that its target states allows another request of this node.
 };
 
 class target_chooser {
--- /dev/null
+++ b/libraries/policy/target_state_table.cpp
@@ -0,0 +1,99 @@
+#include "policy/target_state_table.hpp"
+
+#include "base/digest.hpp"
+#include "policy/target_rate_limiter.hpp"
+
+#include <algorithm>
+
+namespace caraway {
+
+namespace {
+
+/// The parts of all senders add up to more than the limit, since not every sender uses its own. The host
+/// beside the target refuses the excess.
+constexpr double share_surplus = 1.3;
+constexpr duration saved_span{100};
+/// Older knowledge is not passed on, and dropped.
+constexpr duration state_lifetime{60'000};
+
+} // namespace
+
+target_id make_target_id(std::string const& host, std::string const& instance, std::uint64_t started_ms) {
+    auto const hash = fast_hash(host + '\n' + instance + '\n' + std::to_string(started_ms));
+    return std::max(target_id{1}, static_cast<target_id>(hash));
+}
+
+void target_state_table::record_report(target_id target, std::optional<double> rate_limit,
+                                       std::uint32_t sender_count, time_point now) {
+    if (target != 0) {
+        this->targets[target].state = {
+            .rate_limit = rate_limit, .sender_count = sender_count, .updated = now};
+    }
+}
+
+void target_state_table::merge(target_id target, target_state const& heard, time_point now) {
+    bool const is_usable = target != 0 && now - heard.updated < state_lifetime;
+    if (!is_usable) {
+        return;
+    }
+    auto const [known, inserted] = this->targets.try_emplace(target);
+    if (inserted || heard.updated > known->second.state.updated) {
+        known->second.state = heard;
+    }
+}
+
+double target_state_table::share_of(target_state const& state) {
+    double const pace = std::max(*state.rate_limit, min_target_pace);
+    return pace * share_surplus / std::max<std::uint32_t>(1, state.sender_count);
+}
+
+double target_state_table::tokens_at(entry const& known, time_point now) {
+    double const share = share_of(known.state);
+    double const capacity = std::max(1.0, share * saved_span.seconds());
+    return std::min(capacity,
+                    known.tokens + share * std::max(duration{0}, now - known.refilled_at).seconds());
+}
+
+bool target_state_table::has_room(target_id target, time_point now) const {
+    auto const found = this->targets.find(target);
+    bool const is_limited = found != this->targets.end() && found->second.state.rate_limit;
+    return !is_limited || tokens_at(found->second, now) >= 1;
+}
+
+void target_state_table::record_sent(target_id target, time_point now) {
+    auto const found = this->targets.find(target);
+    if (found != this->targets.end() && found->second.state.rate_limit) {
+        found->second.tokens = std::max(0.0, tokens_at(found->second, now) - 1);
+        found->second.refilled_at = now;
+    }
+}
+
+void target_state_table::record_refusal(target_id target, time_point now) {
+    auto const found = this->targets.find(target);
+    if (found != this->targets.end()) {
+        found->second.tokens = 0;
+        found->second.refilled_at = now;
+    }
+}
+
+std::optional<double> target_state_table::rate_limit(target_id target) const {
+    auto const found = this->targets.find(target);
+    return found == this->targets.end() ? std::nullopt : found->second.state.rate_limit;
+}
+
+std::vector<std::pair<target_id, target_state>> target_state_table::limited_targets(time_point now) const {
+    std::vector<std::pair<target_id, target_state>> limited;
+    for (auto const& [target, known] : this->targets) {
+        if (known.state.rate_limit && now - known.state.updated < state_lifetime) {
+            limited.emplace_back(target, known.state);
+        }
+    }
+    return limited;
+}
+
+void target_state_table::remove_expired(time_point now) {
+    std::erase_if(this->targets,
+                  [now](auto const& known) { return now - known.second.state.updated >= state_lifetime; });
+}
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/policy/target_state_table.hpp
@@ -0,0 +1,64 @@
+/// What a node knows of the limits that targets state: from the reports of the hosts beside them, and from
+/// other nodes.
+///
+/// A host beside a target enforces the limit. Here it decides which of the hosts of a service are sent a
+/// request, and it survives a restart of the host beside the target.
+#pragma once
+
+#include "base/clock.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace caraway {
+
+/// Identifies one incarnation of a target on every node; 0 for none.
+using target_id = std::uint32_t;
+
+/// `started_ms`: when the target started, in Unix milliseconds; 0 if unknown.
+target_id make_target_id(std::string const& host, std::string const& instance, std::uint64_t started_ms);
+
+struct target_state {
+    std::optional<double> rate_limit; ///< Requests per second from all hosts together; empty for no limit.
+    /// Hosts that sent requests to the target lately; 0 if unknown.
+    std::uint32_t sender_count{0};
+    time_point updated; ///< When the host beside the target reported it.
+};
+
+class target_state_table {
+public:
+    /// A report of the host beside the target.
+    void record_report(target_id target, std::optional<double> rate_limit, std::uint32_t sender_count,
+                       time_point now);
+    /// What another node knows; ignored unless it is newer than what this node knows.
+    void merge(target_id target, target_state const& heard, time_point now);
+
+    /// Whether this node's part of the target's limit allows another request now.
+    bool has_room(target_id target, time_point now) const;
+    void record_sent(target_id target, time_point now);
+    /// The host beside the target has refused a request because of the limit.
+    void record_refusal(target_id target, time_point now);
+
+    std::optional<double> rate_limit(target_id target) const;
+    /// The states that other nodes need to know.
+    std::vector<std::pair<target_id, target_state>> limited_targets(time_point now) const;
+    /// Drops targets that have not been reported for a long time.
+    void remove_expired(time_point now);
+
+private:
+    struct entry {
+        target_state state;
+        double tokens{1}; ///< This node's part of the limit.
+        time_point refilled_at;
+    };
+
+    static double share_of(target_state const& state);
+    static double tokens_at(entry const& known, time_point now);
+
+    std::unordered_map<target_id, entry> targets;
+};
+
+} // namespace caraway
--- a/libraries/policy/work_queue.cpp
+++ b/libraries/policy/work_queue.cpp
@@ -14,9 +14,12 @@
 
 } // namespace
 
+duration work_queue::age_limit(bool is_nested) {
+    return is_nested ? nested_work_age_limit : root_work_age_limit;
+}
+
 bool work_queue::is_expired(queued_work const& work, time_point now) {
-    auto const limit = work.is_nested ? nested_work_age_limit : root_work_age_limit;
-    return now >= work.deadline || now - work.arrived >= limit;
+    return now >= work.deadline || now - work.arrived >= age_limit(work.is_nested);
 }
 
 std::uint64_t work_queue::push(queued_work work) {
--- a/libraries/policy/work_queue.hpp
+++ b/libraries/policy/work_queue.hpp
@@ -42,6 +42,9 @@
         this->nested_capacity = std::max(max_size, max_nested_size);
     }
 
+    /// Work that has waited for this long is removed.
+    static duration age_limit(bool is_nested);
+
     /// Returns the id of the evicted work, which may be the new one, or 0 when there was room.
     std::uint64_t push(queued_work work);
 
--- a/tests/platform/registry_documents_test.cpp
+++ b/tests/platform/registry_documents_test.cpp
@@ -59,9 +59,9 @@
                                        .link = "10.0.0.1:7000",
                                        .leaving = true,
                                        .instance = "i-1",
+                                       .started_ms = 1'700'000'000'000U,
                                        .slots = 57,
                                        .warm_up_ms = 1200});
-    CHECK(entry->started == 1'700'000'000'000U);
 }
 
 TEST_CASE("an entry that is malformed or not a target's is ignored") {
