node: Keep a target's limit when the host list comes later or again

Callers would see nothing; a limited target would get a burst after a restart of the host beside it, or after its entry had expired and come back.

Cause: the peers' news of a limit was matched with the target that the host list names at that moment. The links of a host that restarts may open before it has read a list; and a list without the target, as in an outage of the registry, counted as a new incarnation. The news is now looked up when the list names the target, and only another incarnation forgets.

--- a/libraries/node/own_target.cpp
+++ b/libraries/node/own_target.cpp
@@ -22,14 +22,19 @@
 } // namespace
 
 void own_target::on_listed(target_id listed, time_point now) {
-    if (listed == this->context.own_target_id) {
-        return;
-    }
     this->context.own_target_id = listed;
+    if (listed == 0 || listed == this->incarnation) {
+        return; // An entry that has expired may be back under the same incarnation.
+    }
+    this->incarnation = listed;
     this->set_rate_limit(std::nullopt, "new_incarnation", now);
     this->limiter.reset();
     this->is_known = false;
     this->leaving = false;
+    // Peers may have told what the target states before the host list named it.
+    if (auto const known_limit = this->context.targets.rate_limit(listed)) {
+        this->adopt(listed, *known_limit, now);
+    }
 }
 
 void own_target::on_statement(target_statement const& statement, std::string const& instance,
@@ -51,7 +56,7 @@
 }
 
 void own_target::adopt(target_id target, double rate_limit, time_point now) {
-    bool const is_wanted = !this->is_known && target != 0 && target == this->context.own_target_id;
+    bool const is_wanted = !this->is_known && target != 0 && target == this->incarnation;
     if (is_wanted) {
         this->is_known = true;
         this->set_rate_limit(rate_limit, "peer", now);
--- a/libraries/node/own_target.hpp
+++ b/libraries/node/own_target.hpp
@@ -58,7 +58,8 @@
 
     node_context& context;
     target_rate_limiter limiter;
-    bool is_known{false}; ///< The target has answered, or other nodes have said what it states.
+    target_id incarnation{0}; ///< The last one that the host list named.
+    bool is_known{false};     ///< The target has answered, or other nodes have said what it states.
     std::optional<double> stated_limit;
     time_point limited_since;
     bool leaving{false};
