node, policy, link: Give nothing new to a target that states that it leaves

Why this works: the host beside the target is the only way to it and refuses new and queued work as 'leaving'; reports and gossip tell the others, and a restarted host.

--- a/libraries/link/message.hpp
+++ b/libraries/link/message.hpp
@@ -64,13 +64,14 @@
     std::uint32_t target{0};
     bool target_is_limited{false};
     std::uint32_t target_rate_limit{0}; ///< In thousandths of a request per second.
+    bool target_is_leaving{false};      ///< The target has stated that it is about to end.
     std::uint32_t target_senders{0};    ///< Hosts that sent requests for its target lately.
 
     template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->incarnation, this->ticket_window, this->in_flight, this->limit, this->leaving,
                 this->serving, this->target, this->target_is_limited, this->target_rate_limit,
-                this->target_senders);
+                this->target_is_leaving, this->target_senders);
     }
     bool operator==(host_report const&) const = default;
 };
@@ -201,15 +202,17 @@
     bool operator==(suspect_report const&) const = default;
 };
 
-/// What the sender knows of a target that states a limit.
+/// What the sender knows of a target that states a limit, or that it is leaving.
 struct target_report {
     std::uint32_t target{0};
+    bool is_limited{false};
+    bool is_leaving{false};
     std::uint32_t rate_limit{0}; ///< In thousandths of a request per second.
     double age_ms{0};            ///< Time since the host beside the target reported it.
 
     template <typename Visitor>
     void visit(Visitor&& visitor) {
-        visitor(this->target, this->rate_limit, this->age_ms);
+        visitor(this->target, this->is_limited, this->is_leaving, this->rate_limit, this->age_ms);
     }
     bool operator==(target_report const&) const = default;
 };
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -136,7 +136,7 @@
     if (!work.request.ticket.empty() && !this->claim_ticket(work, now)) {
         return;
     }
-    if (this->context.phase != node_phase::serving || this->context.target_is_leaving) {
+    if (this->context.phase != node_phase::serving || this->target_is_leaving()) {
         return this->refuse_new(work, result_code::leaving, outcome::not_run, now);
     }
     if (this->executions.size() >= this->context.options.max_requests) {
@@ -295,6 +295,9 @@
 }
 
 void executor::start_queued(time_point now) {
+    if (this->local_target.is_leaving()) {
+        return this->refuse_queued(result_code::leaving, now);
+    }
     this->start_next_suspect(now);
     std::vector<std::uint64_t> late;
     auto const capacity = static_cast<std::size_t>(this->concurrency_limit());
@@ -498,6 +501,19 @@
     this->note_call_ended(parent, now);
 }
 
+void executor::refuse_queued(result_code code, time_point now) {
+    std::vector<std::uint64_t> queued;
+    for (auto const& [id, work] : this->executions) {
+        if (work.stage == execution::state::queued) {
+            queued.push_back(id);
+        }
+    }
+    for (auto const id : queued) {
+        this->queue.remove(id);
+        this->refuse(id, code, now);
+    }
+}
+
 void executor::start_draining(time_point now) {
     std::vector<std::uint64_t> queued_roots;
     for (auto const& [id, work] : this->executions) {
--- a/libraries/node/executor.hpp
+++ b/libraries/node/executor.hpp
@@ -91,6 +91,10 @@
 
     /// Refuses queued root requests; called once when the node starts draining.
     void start_draining(time_point now);
+    /// Whether the own target accepts no new work, by the host list or by its own statement.
+    bool target_is_leaving() const {
+        return this->context.target_is_leaving || this->local_target.is_leaving();
+    }
 
     void apply_configuration();
     /// Sets how many requests the own target runs at once according to the host list; 0 when it does not say.
@@ -114,6 +118,8 @@
     void start_queued(time_point now);
     /// Fits the queue to the slots of the target and to the pace at which it accepts requests.
     void update_queue_capacity(time_point now);
+    /// Refuses all queued work, which another host may still run.
+    void refuse_queued(result_code code, time_point now);
     /// Why a request that found no place in the queue, or waited there for too long, is refused.
     result_code queue_refusal(result_code without_limit, time_point now) const;
     /// Ends a stored execution without running it.
--- a/libraries/node/node_context.hpp
+++ b/libraries/node/node_context.hpp
@@ -65,7 +65,10 @@
         constexpr double thousandths = 1000;
         auto const rate_limit =
             report.target_is_limited ? std::optional(report.target_rate_limit / thousandths) : std::nullopt;
-        this->targets.record_report(report.target, rate_limit, report.target_senders, now);
+        this->targets.record_report(report.target, {.rate_limit = rate_limit,
+                                                    .leaving = report.target_is_leaving,
+                                                    .sender_count = report.target_senders,
+                                                    .updated = now});
     }
 
     bool has_full_control() const { return this->options.mode == control_mode::full; }
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -160,10 +160,12 @@
     auto const& gossip = std::get<gossip_message>(received.content);
     this->context.record_report(received.from, gossip.report, now);
     for (auto const& reported : gossip.targets) {
-        double const rate_limit = reported.rate_limit / rate_limit_unit;
-        this->local_executor.target().adopt(reported.target, rate_limit, now);
-        this->context.targets.merge(
-            reported.target, {.rate_limit = rate_limit, .updated = now - duration{reported.age_ms}}, now);
+        target_state state{.leaving = reported.is_leaving, .updated = now - duration{reported.age_ms}};
+        if (reported.is_limited) {
+            state.rate_limit = reported.rate_limit / rate_limit_unit;
+        }
+        this->local_executor.target().adopt(reported.target, state, now);
+        this->context.targets.merge(reported.target, state, now);
     }
     this->documents.on_gossip(received.from, gossip, now);
     for (auto const& reported : gossip.suspects) {
@@ -304,11 +306,14 @@
                 {entry.fingerprint, entry.crashes, (now - entry.last_crash).milliseconds});
         }
     }
-    for (auto const& [target, state] : this->context.targets.limited_targets(now)) {
+    for (auto const& [target, state] : this->context.targets.restricted_targets(now)) {
         if (content.targets.size() < max_gossiped_targets) {
-            content.targets.push_back(
-                {target, static_cast<std::uint32_t>(std::llround(*state.rate_limit * rate_limit_unit)),
-                 (now - state.updated).milliseconds});
+            content.targets.push_back({.target = target,
+                                       .is_limited = state.rate_limit.has_value(),
+                                       .is_leaving = state.leaving,
+                                       .rate_limit = static_cast<std::uint32_t>(
+                                           std::llround(state.rate_limit.value_or(0) * rate_limit_unit)),
+                                       .age_ms = (now - state.updated).milliseconds});
         }
     }
     return content;
--- a/libraries/node/own_target.cpp
+++ b/libraries/node/own_target.cpp
@@ -12,6 +12,8 @@
 /// A host that has sent nothing for this long does not take part in the limit.
 constexpr duration sender_lifetime{2000};
 constexpr duration max_return_delay{30'000};
+/// How long a target without a listed instance stays out of use after it has stated that it is leaving.
+constexpr duration anonymous_leaving_lifetime{30'000};
 constexpr double thousandths = 1000;
 constexpr double max_reported_limit = 1e6;
 
@@ -32,8 +34,8 @@
     this->is_known = false;
     this->leaving = false;
     // Peers may have told what the target states before the host list named it.
-    if (auto const known_limit = this->context.targets.rate_limit(listed)) {
-        this->adopt(listed, *known_limit, now);
+    if (auto const* known = this->context.targets.find(listed)) {
+        this->adopt(listed, target_state(*known), now);
     }
 }
 
@@ -48,18 +50,31 @@
     } else {
         this->set_rate_limit(statement.rate_limit, "target", now);
     }
-    if (statement.leaving && !this->leaving) {
-        this->context.pending_effects.log(log_level::info, "target_leaving_stated",
-                                          {{"instance", this->context.own_target_instance}});
+    if (statement.leaving) {
+        this->set_leaving("target", now);
     }
-    this->leaving = statement.leaving;
 }
 
-void own_target::adopt(target_id target, double rate_limit, time_point now) {
+void own_target::adopt(target_id target, target_state const& state, time_point now) {
     bool const is_wanted = !this->is_known && target != 0 && target == this->incarnation;
-    if (is_wanted) {
-        this->is_known = true;
-        this->set_rate_limit(rate_limit, "peer", now);
+    bool const is_restricted = state.rate_limit || state.leaving;
+    if (!is_wanted || !is_restricted) {
+        return;
+    }
+    this->is_known = true;
+    this->set_rate_limit(state.rate_limit, "peer", now);
+    if (state.leaving) {
+        this->set_leaving("peer", now);
+    }
+}
+
+void own_target::set_leaving(std::string const& source, time_point now) {
+    this->leaving_since = now;
+    if (!this->leaving) {
+        this->leaving = true;
+        this->context.pending_effects.log(
+            log_level::info, "target_leaving_stated",
+            {{"instance", this->context.own_target_instance}, {"source", source}});
     }
 }
 
@@ -99,6 +114,7 @@
 
 void own_target::describe(host_report& report) const {
     report.target = this->is_known ? this->context.own_target_id : 0;
+    report.target_is_leaving = this->leaving;
     report.target_is_limited = this->stated_limit.has_value();
     if (this->stated_limit) {
         double const limit = std::min(*this->stated_limit, max_reported_limit);
@@ -108,6 +124,12 @@
 }
 
 void own_target::run_periodic_tasks(time_point now) {
+    // Where the host list does not tell incarnations apart, the next one would be taken for the one that
+    // left.
+    bool const is_distinguishable = !this->context.own_target_instance.empty();
+    if (this->leaving && !is_distinguishable && now - this->leaving_since >= anonymous_leaving_lifetime) {
+        this->leaving = false;
+    }
     if (now - this->logged_at >= log_interval) {
         std::erase_if(this->senders,
                       [now](auto const& sender) { return now - sender.second >= sender_lifetime; });
--- a/libraries/node/own_target.hpp
+++ b/libraries/node/own_target.hpp
@@ -20,7 +20,7 @@
     /// Handles the statement of an answer to a request that was meant for `instance`.
     void on_statement(target_statement const& statement, std::string const& instance, time_point now);
     /// Takes over what other nodes know of the target, unless this process has an answer of it already.
-    void adopt(target_id target, double rate_limit, time_point now);
+    void adopt(target_id target, target_state const& state, time_point now);
 
     bool may_send(time_point now) const { return this->limiter.may_send(now); }
     bool is_pacing(time_point now) const { return this->limiter.is_pacing(now); }
@@ -42,6 +42,7 @@
     /// Requests per second; empty while the target states no limit.
     std::optional<double> rate_limit() const { return this->stated_limit; }
     duration limited_for(time_point now) const { return now - this->limited_since; }
+    /// Whether the target has stated that it is leaving, which holds for the whole incarnation.
     bool is_leaving() const { return this->leaving; }
     /// Adds what is known of the target to a report of this node.
     void describe(host_report& report) const;
@@ -54,6 +55,7 @@
     };
 
     void set_rate_limit(std::optional<double> limit, std::string const& source, time_point now);
+    void set_leaving(std::string const& source, time_point now);
     void log_counts(time_point now);
 
     node_context& context;
@@ -63,6 +65,7 @@
     std::optional<double> stated_limit;
     time_point limited_since;
     bool leaving{false};
+    time_point leaving_since;
     std::unordered_map<std::string, time_point> senders;
     time_point next_return; ///< The latest time at which a refused caller was told to try again.
     counts since_log;
--- a/libraries/node/request_router.cpp
+++ b/libraries/node/request_router.cpp
@@ -422,11 +422,14 @@
 std::vector<candidate_host> request_router::candidates_for(pending_call const& call, time_point now) {
     auto candidates = this->context.peers.candidates(call.service, now);
     bool const own = call.service == this->context.options.service &&
-                     this->context.phase == node_phase::serving && !this->context.target_is_leaving;
+                     this->context.phase == node_phase::serving && !this->local_executor.target_is_leaving();
     if (own) {
         auto const report = this->context.make_own_report();
         candidates.push_back({this->context.options.host, true, report.in_flight, report.limit, {0}});
     }
+    std::erase_if(candidates, [this](candidate_host const& candidate) {
+        return this->context.targets.is_leaving(this->target_of(candidate.host));
+    });
     auto const is_unlimited = [this](candidate_host const& candidate) {
         return !this->context.targets.rate_limit(this->target_of(candidate.host));
     };
--- a/libraries/node/status_report.cpp
+++ b/libraries/node/status_report.cpp
@@ -32,6 +32,7 @@
                                 {"service", to_qstring(peer->entry.service)},
                                 {"link", context.peers.is_connected(name) ? "open" : "closed"},
                                 {"leaving", peer->entry.leaving || peer->reports_leaving},
+                                {"target_leaving", context.targets.is_leaving(peer->target)},
                                 {"ejected", context.chooser.is_ejected(name, now)},
                                 {"in_flight", number(peer->report.in_flight)},
                                 {"limit", number(peer->report.limit)}});
--- a/libraries/policy/target_state_table.cpp
+++ b/libraries/policy/target_state_table.cpp
@@ -23,11 +23,9 @@
     return std::max(target_id{1}, static_cast<target_id>(hash));
 }
 
-void target_state_table::record_report(target_id target, std::optional<double> rate_limit,
-                                       std::uint32_t sender_count, time_point now) {
+void target_state_table::record_report(target_id target, target_state const& reported) {
     if (target != 0) {
-        this->targets[target].state = {
-            .rate_limit = rate_limit, .sender_count = sender_count, .updated = now};
+        this->targets[target].state = reported;
     }
 }
 
@@ -77,18 +75,29 @@
 }
 
 std::optional<double> target_state_table::rate_limit(target_id target) const {
+    auto const* state = this->find(target);
+    return state == nullptr ? std::nullopt : state->rate_limit;
+}
+
+bool target_state_table::is_leaving(target_id target) const {
+    auto const* state = this->find(target);
+    return state != nullptr && state->leaving;
+}
+
+target_state const* target_state_table::find(target_id target) const {
     auto const found = this->targets.find(target);
-    return found == this->targets.end() ? std::nullopt : found->second.state.rate_limit;
+    return found == this->targets.end() ? nullptr : &found->second.state;
 }
 
-std::vector<std::pair<target_id, target_state>> target_state_table::limited_targets(time_point now) const {
-    std::vector<std::pair<target_id, target_state>> limited;
+std::vector<std::pair<target_id, target_state>> target_state_table::restricted_targets(time_point now) const {
+    std::vector<std::pair<target_id, target_state>> restricted;
     for (auto const& [target, known] : this->targets) {
-        if (known.state.rate_limit && now - known.state.updated < state_lifetime) {
-            limited.emplace_back(target, known.state);
+        bool const is_restricted = known.state.rate_limit || known.state.leaving;
+        if (is_restricted && now - known.state.updated < state_lifetime) {
+            restricted.emplace_back(target, known.state);
         }
     }
-    return limited;
+    return restricted;
 }
 
 void target_state_table::remove_expired(time_point now) {
--- a/libraries/policy/target_state_table.hpp
+++ b/libraries/policy/target_state_table.hpp
@@ -1,5 +1,5 @@
-/// What a node knows of the limits that targets state: from the reports of the hosts beside them, and from
-/// other nodes.
+/// What a node knows of what targets state, limits and that they are leaving: from the reports of the hosts
+/// beside them, and from other nodes.
 ///
 /// A host beside a target enforces the limit. Here it decides which of the hosts of a service are sent a
 /// request, and it survives a restart of the host beside the target.
@@ -23,6 +23,7 @@
 
 struct target_state {
     std::optional<double> rate_limit; ///< Requests per second from all hosts together; empty for no limit.
+    bool leaving{false};              ///< The target accepts no new requests.
     /// Hosts that sent requests to the target lately; 0 if unknown.
     std::uint32_t sender_count{0};
     time_point updated; ///< When the host beside the target reported it.
@@ -31,8 +32,7 @@
 class target_state_table {
 public:
     /// A report of the host beside the target.
-    void record_report(target_id target, std::optional<double> rate_limit, std::uint32_t sender_count,
-                       time_point now);
+    void record_report(target_id target, target_state const& reported);
     /// What another node knows; ignored unless it is newer than what this node knows.
     void merge(target_id target, target_state const& heard, time_point now);
 
@@ -43,8 +43,11 @@
     void record_refusal(target_id target, time_point now);
 
     std::optional<double> rate_limit(target_id target) const;
-    /// The states that other nodes need to know.
-    std::vector<std::pair<target_id, target_state>> limited_targets(time_point now) const;
+    bool is_leaving(target_id target) const;
+    /// Null when nothing is known of the target.
+    target_state const* find(target_id target) const;
+    /// The targets that are limited or leaving, which other nodes need to know.
+    std::vector<std::pair<target_id, target_state>> restricted_targets(time_point now) const;
     /// Drops targets that have not been reported for a long time.
     void remove_expired(time_point now);
 
--- a/tests/policy/target_rate_limiter_test.cpp
+++ b/tests/policy/target_rate_limiter_test.cpp
@@ -85,12 +85,12 @@
     target_state_table targets;
     auto const target = make_target_id("10.0.0.1", "i-1", 0);
     CHECK(targets.has_room(target, {1000}));
-    targets.record_report(target, 10, 10, {1000});
+    targets.record_report(target, {.rate_limit = 10, .sender_count = 10, .updated = {1000}});
     CHECK(targets.has_room(target, {1000}));
     targets.record_sent(target, {1000});
     CHECK_FALSE(targets.has_room(target, {1200}));
     CHECK(targets.has_room(target, {2000}));
-    targets.record_report(target, std::nullopt, 0, {2100});
+    targets.record_report(target, {.updated = {2100}});
     targets.merge(target, {.rate_limit = 1, .updated = {2000}}, {2200});
     CHECK_FALSE(targets.rate_limit(target));
     targets.merge(target, {.rate_limit = 1, .updated = {2150}}, {2200});
