platform, node: Log what a reader reads from the registry and ignores

A document that is read and dropped left no line, so that an order mistake in the source, a lost watch and a refusal between nodes looked alike (docs/incidents/registry-restore.md). No logic changes.

--- a/libraries/node/node_runtime.cpp
+++ b/libraries/node/node_runtime.cpp
@@ -156,6 +156,10 @@
                 [this](std::string const& reason) {
                     this->telemetry.enqueue_log(
                         log_entry{log_level::warn, "platform_unreachable", {{"reason", reason}}});
+                },
+            .on_notice =
+                [this](std::string const& event, header_list const& fields) {
+                    this->telemetry.enqueue_log(log_entry{log_level::info, event, fields});
                 }});
     this->platform->set_active(true);
 }
--- a/libraries/platform/platform_source.hpp
+++ b/libraries/platform/platform_source.hpp
@@ -1,6 +1,7 @@
 /// What a node needs from the platform, independent of the platform's protocol.
 #pragma once
 
+#include "base/header_field.hpp"
 #include "config/bundle.hpp"
 #include "config/settings.hpp"
 #include "http/http_dialect.hpp"
@@ -18,6 +19,8 @@
     /// The host list as JSON text (node/host_list.hpp).
     std::function<void(std::string&&)> on_hosts;
     std::function<void(std::string const& reason)> on_failure;
+    /// An event for the operators' log, with its fields.
+    std::function<void(std::string const& event, header_list const& fields)> on_notice;
 };
 
 /// Reads and watches the platform. A setting chooses the implementation when the process starts.
