tests/platform: Reproduce a configuration lost after a registry's restore

The stand-in registry can go back to a copy: revisions are given out again, the era rises, a watch from a later position gets 410. A configuration stored then is never published by the current code.

--- a/tests/platform/registry_source_test.cpp
+++ b/tests/platform/registry_source_test.cpp
@@ -85,6 +85,13 @@
         return true;
     }
 
+    /// The revision by which nodes order the last configuration.
+    std::uint64_t configuration_revision() const {
+        return attempt_or([this] { return parse_manifest(this->last.manifest_text); },
+                          [](problem const&) { return manifest{}; })
+            .revision;
+    }
+
     std::uint16_t port;
     registry_standin registry;
     std::unique_ptr<registry_source> source;
@@ -194,3 +201,20 @@
     REQUIRE(watched.wait_for([&] { return cut_off_list.hosts.size() == 2; }));
     CHECK(cut_off_list.revision > revision_with_unconfirmed);
 }
+
+// After the registry came back from a copy, a new version got a revision that a former one had, and no reader
+// took it.
+TEST_CASE("a configuration that is stored after the registry came back from a copy comes into force") {
+    followed_registry watched;
+    REQUIRE(watched.wait_for([&] { return watched.configurations == 1; }));
+    watched.registry.take_copy();
+    watched.registry.put("op/config", configuration_text(5));
+    REQUIRE(watched.wait_for([&] { return watched.configurations == 2; }));
+    watched.registry.put("op/config", configuration_text(7));
+    REQUIRE(watched.wait_for([&] { return watched.configurations == 3; }));
+    auto const before = watched.configuration_revision();
+    watched.registry.restore();
+    watched.registry.put("op/config", configuration_text(9));
+    REQUIRE(watched.wait_for([&] { return watched.configurations == 4; }));
+    CHECK(watched.configuration_revision() > before);
+}
--- a/tests/standins/registry_standin.cpp
+++ b/tests/standins/registry_standin.cpp
@@ -53,6 +53,26 @@
     this->history.clear();
 }
 
+void registry_standin::take_copy() {
+    std::lock_guard const guard(this->mutex);
+    this->copied_items = this->items;
+    this->copied_revision = this->revision;
+}
+
+void registry_standin::restore() {
+    std::lock_guard const guard(this->mutex);
+    this->items = this->copied_items;
+    this->revision = this->copied_revision;
+    this->compacted = this->copied_revision;
+    this->history.clear();
+    this->era_text = std::to_string(++this->era);
+}
+
+void registry_standin::set_era(std::string text) {
+    std::lock_guard const guard(this->mutex);
+    this->era_text = std::move(text);
+}
+
 QJsonObject registry_standin::to_json(std::string const& key, item const& entry) {
     return {{"key", QString::fromStdString(key)},
             {"value", QString::fromLatin1(QByteArray::fromStdString(entry.value).toBase64())},
@@ -92,7 +112,7 @@
 
 std::optional<http_response> registry_standin::changes_after(std::string const& prefix, std::uint64_t after) {
     std::lock_guard const guard(this->mutex);
-    if (after < this->compacted) {
+    if (after < this->compacted || after > this->revision) {
         return make_response(410, "{}");
     }
     QJsonArray rows;
@@ -112,6 +132,15 @@
 }
 
 asio::awaitable<http_response> registry_standin::handle(http_request request) {
+    auto response = co_await this->make_answer(std::move(request));
+    std::lock_guard const guard(this->mutex);
+    if (!this->era_text.empty()) {
+        response.set("Store-Era", this->era_text);
+    }
+    co_return response;
+}
+
+asio::awaitable<http_response> registry_standin::make_answer(http_request request) {
     ++this->calls;
     QUrl const url(QString::fromStdString(std::string(request.target())));
     QUrlQuery const query(url);
