platform: Order configurations by the operator's version, hosts by the era

Cause: the registry's revision answered two questions, what the registry holds and what is newer. After a restore revisions are given out again, so the next version came under a revision that was not higher than the one in force, and each reader dropped it. Class: an order that someone else can set back, trusted as if it only rose.

Why this works: a configuration is ordered by the count of its writer, which no restore sets back, so an older copy is never taken and the next version always is. A rise of the era has all read again at once, also where the revision has meanwhile passed the watched one and no 410 tells; answers of an earlier era are dropped. Entries of the copy are compared with what the targets themselves wrote last, targets that the copy lacks are kept like after an outage, and host lists have the era in the upper bits of their revision.

Two expectations changed: a configuration's revision is now the version in its text (7), not the registry's (9), in registry_documents_test.

--- a/libraries/platform/platform_source.hpp
+++ b/libraries/platform/platform_source.hpp
@@ -37,8 +37,8 @@
 
 /// Properties of the platform that a node's decisions rely on.
 struct platform_traits {
-    /// The platform never serves an older state than it has served before. A starting node may then use what
-    /// it reads without asking its peers for something newer.
+    /// The platform does not serve an older state than it has served before, except after a restore. A
+    /// starting node may then use what it reads at once, and replaces it when a peer has something newer.
     bool has_monotonic_reads{false};
     /// How far the platform lets the fleet exceed an organisation's rate limit; not at all by default.
     rate_tolerance quota_tolerance;
--- a/tests/platform/registry_documents_test.cpp
+++ b/tests/platform/registry_documents_test.cpp
@@ -1,6 +1,7 @@
 /// Translation of the registry's entries into the product's configuration and host list.
 
 #include "platform/registry_documents.hpp"
+#include "platform/registry_position.hpp"
 
 #include "base/digest.hpp"
 
@@ -26,7 +27,7 @@
 configuration_pointer configuration_of(std::string const& text) {
     return attempt_or(
         [&]() -> result<configuration_pointer> {
-            BOOST_LEAF_AUTO(new_bundle, parse_configuration(QByteArray::fromStdString(text), 9));
+            BOOST_LEAF_AUTO(new_bundle, parse_configuration(QByteArray::fromStdString(text)));
             return compile_bundle(new_bundle);
         },
         [](problem const& cause) -> configuration_pointer {
@@ -94,7 +95,7 @@
 TEST_CASE("routes keep host, prefix, split, kind, limits and priority, and the longest prefix matches") {
     auto const read_back = configuration_of(published);
     REQUIRE(read_back);
-    CHECK(read_back->revision() == 9);
+    CHECK(read_back->revision() == 7);
     auto const* browse = read_back->find_route("GET", "shop.example:80", "/goods/7?x=1");
     REQUIRE(browse != nullptr);
     CHECK(browse->name == "browse");
@@ -134,3 +135,29 @@
     CHECK_FALSE(free->is_limited());
     CHECK(read_back->find_organisation_by_key("k1") == nullptr);
 }
+
+// The registry's revisions go back when it comes back from a copy; the operator's versions only rise.
+TEST_CASE("a configuration is ordered by the operator's version, and one without a version is refused") {
+    auto const revision_of = [](std::string const& version) {
+        auto const text = R"({"version":)" + version + R"(,"routes":[],"services":[],"tenants":[]})";
+        return attempt_or(
+            [&text]() -> result<std::uint64_t> {
+                BOOST_LEAF_AUTO(new_bundle, parse_configuration(QByteArray::fromStdString(text)));
+                BOOST_LEAF_AUTO(parsed, parse_manifest(new_bundle.manifest_text));
+                return parsed.revision;
+            },
+            [](problem const&) { return std::uint64_t{0}; });
+    };
+    CHECK(revision_of("12") == 12);
+    for (auto const* value : {"0", "-3", "1.5", "\"7\"", "null", "1e300"}) {
+        CAPTURE(value);
+        CHECK(revision_of(value) == 0);
+    }
+}
+
+TEST_CASE("a later era follows every revision of an earlier one") {
+    CHECK(make_position(2, 1) > make_position(1, 1'000'000'000));
+    CHECK(make_position(2, 5) > make_position(2, 4));
+    CHECK(make_position(0, 7) == 7);
+    CHECK(make_position(max_era, ~std::uint64_t{0}) > make_position(max_era, 0));
+}
--- a/tests/platform/registry_source_test.cpp
+++ b/tests/platform/registry_source_test.cpp
@@ -34,9 +34,10 @@
     return instance;
 }
 
-std::string entry_text(int number, std::string const& state = "ready") {
+std::string entry_text(int number, std::string const& state = "ready", int sequence = 1) {
     return R"({"service":"front","address":"10.0.0.)" + std::to_string(number) +
-           R"(:8080","zone":"north","slots":5,"state":")" + state + R"(","seq":1})";
+           R"(:8080","zone":"north","slots":5,"born":1700000000000,"state":")" + state + R"(","seq":)" +
+           std::to_string(sequence) + "}";
 }
 
 std::string configuration_text(int version) {
@@ -72,6 +73,18 @@
         this->source->set_active(true);
     }
 
+    /// Goes back to the copy after an outage.
+    void restore() {
+        this->registry.set_fault(registry_fault::down);
+        auto const before = this->failures;
+        REQUIRE(wait_for([&] { return this->failures > before + 2; }));
+        this->registry.restore();
+        this->registry.set_fault(registry_fault::none);
+    }
+
+    bool lists(int number) const { return this->find(number) != this->list.hosts.end(); }
+    bool lists_as_leaving(int number) const { return this->lists(number) && this->find(number)->leaving; }
+
     /// Runs the event loop until the condition holds; false after ten seconds.
     static bool wait_for(std::function<bool()> const& condition) {
         QElapsedTimer timer;
@@ -92,6 +105,10 @@
             .revision;
     }
 
+    std::vector<listed_host>::const_iterator find(int number) const {
+        return std::ranges::find(this->list.hosts, "10.0.0." + std::to_string(number), &listed_host::host);
+    }
+
     std::uint16_t port;
     registry_standin registry;
     std::unique_ptr<registry_source> source;
@@ -218,3 +235,85 @@
     REQUIRE(watched.wait_for([&] { return watched.configurations == 4; }));
     CHECK(watched.configuration_revision() > before);
 }
+
+// The copy held an older configuration; its position in the new era is higher than that of the one in force.
+TEST_CASE("a copy of the registry does not bring back an older configuration") {
+    followed_registry watched;
+    REQUIRE(watched.wait_for([&] { return watched.configurations == 1; }));
+    watched.registry.take_copy();
+    watched.registry.put("op/config", configuration_text(5));
+    REQUIRE(watched.wait_for([&] { return watched.configurations == 2; }));
+    watched.restore();
+    // The operator writes the lost version again, and then the next one.
+    watched.registry.put("op/config", configuration_text(5));
+    watched.registry.put("op/config", configuration_text(6));
+    REQUIRE(watched.wait_for([&] { return watched.configuration_revision() == 6; }));
+    CHECK(watched.configurations == 3);
+}
+
+// Requests went on to a target that had left, or not to one that lived, until the writers had written again.
+TEST_CASE("a copy brings back no target that has left, and a living target that it lacks is kept") {
+    followed_registry watched;
+    REQUIRE(watched.wait_for([&] { return watched.list.hosts.size() == 3; }));
+    watched.registry.take_copy();
+    watched.registry.put("servers/i-1", entry_text(1, "draining", 4));
+    REQUIRE(watched.wait_for([&] { return watched.lists_as_leaving(1); }));
+    watched.registry.remove("servers/i-1");
+    watched.registry.put("servers/i-2", entry_text(2, "draining", 4));
+    watched.registry.put("servers/i-4", entry_text(4, "ready", 2));
+    REQUIRE(watched.wait_for(
+        [&] { return !watched.lists(1) && watched.lists_as_leaving(2) && watched.lists(4); }));
+    auto const before = watched.list.revision;
+    watched.restore();
+    REQUIRE(watched.wait_for([&] { return watched.list.revision > before; }));
+    CHECK_FALSE(watched.lists(1));
+    CHECK(watched.lists_as_leaving(2));
+    CHECK(watched.lists(3));
+    CHECK(watched.lists(4));
+    watched.registry.put("servers/i-4", entry_text(4, "ready", 3));
+    auto const outlasts_grace = [start = monotonic_clock::now()] {
+        return monotonic_clock::now() - start > duration{3000};
+    };
+    REQUIRE(watched.wait_for(outlasts_grace));
+    CHECK(watched.lists(4));
+}
+
+TEST_CASE("a second restore before the first one is digested loses no later change") {
+    followed_registry watched;
+    REQUIRE(watched.wait_for([&] { return watched.list.hosts.size() == 3; }));
+    watched.registry.take_copy();
+    watched.registry.put("op/config", configuration_text(3));
+    REQUIRE(watched.wait_for([&] { return watched.configurations == 2; }));
+    watched.restore();
+    watched.registry.restore();
+    watched.registry.put("op/config", configuration_text(4));
+    watched.registry.put("servers/i-4", entry_text(4));
+    CHECK(watched.wait_for([&] { return watched.configuration_revision() == 4 && watched.lists(4); }));
+}
+
+// An answer that was on its way, or of another copy, would set the order back.
+TEST_CASE("answers of an earlier era are not used, and an era that is not a number changes nothing") {
+    followed_registry watched;
+    watched.registry.set_era("7");
+    watched.registry.put("op/config", configuration_text(2));
+    REQUIRE(watched.wait_for([&] { return watched.configuration_revision() == 2; }));
+    SUBCASE("earlier") {
+        watched.registry.set_era("6");
+        watched.registry.put("op/config", configuration_text(3));
+        auto const before = watched.failures;
+        REQUIRE(watched.wait_for([&] { return watched.failures > before + 1; }));
+        CHECK(watched.configuration_revision() == 2);
+        watched.registry.set_era("9");
+    }
+    SUBCASE("not a number") {
+        watched.registry.set_era("abc");
+    }
+    SUBCASE("too large") {
+        watched.registry.set_era("99999999999999999999");
+    }
+    SUBCASE("no longer stated") {
+        watched.registry.set_era("");
+    }
+    watched.registry.put("op/config", configuration_text(4));
+    CHECK(watched.wait_for([&] { return watched.configuration_revision() == 4; }));
+}
