platform: Publish the end of an entry's grace time without a new revision

Callers would be sent for as long as the registry stays quiet to a target that has not come back after an outage or a restore: the entry expired in the reader, but its list had no higher revision, and nodes take only higher ones.

Same class as the restore: an order derived from the registry's revision, on the belief that heartbeats raise it each second. Found by a test of the restore; 'a target that does not return after an outage...' failed before.

--- a/tests/platform/registry_documents_test.cpp
+++ b/tests/platform/registry_documents_test.cpp
@@ -158,6 +158,6 @@
 TEST_CASE("a later era follows every revision of an earlier one") {
     CHECK(make_position(2, 1) > make_position(1, 1'000'000'000));
     CHECK(make_position(2, 5) > make_position(2, 4));
-    CHECK(make_position(0, 7) == 7);
+    CHECK(make_position(0, 8) == make_position(0, 7) + steps_per_revision);
     CHECK(make_position(max_era, ~std::uint64_t{0}) > make_position(max_era, 0));
 }
--- a/tests/platform/registry_source_test.cpp
+++ b/tests/platform/registry_source_test.cpp
@@ -278,6 +278,26 @@
     CHECK(watched.lists(4));
 }
 
+// Heartbeats need not raise the registry's revision, and a list without a higher revision is taken by nobody.
+TEST_CASE("a target that does not return after an outage is gone, also when nothing else changes") {
+    followed_registry watched;
+    REQUIRE(watched.wait_for([&] { return watched.list.hosts.size() == 3; }));
+    watched.registry.take_copy();
+    watched.registry.put("servers/i-4", entry_text(4, "ready", 2));
+    REQUIRE(watched.wait_for([&] { return watched.lists(4); }));
+    watched.restore();
+    auto const before = watched.list.revision;
+    REQUIRE(watched.wait_for([&] { return watched.list.revision > before; }));
+    REQUIRE(watched.lists(4));
+    auto const unconfirmed = watched.list.revision;
+    CHECK(watched.wait_for([&] { return !watched.lists(4); }));
+    CHECK(watched.list.revision > unconfirmed);
+    SUBCASE("and a later change of the registry is published, too") {
+        watched.registry.put("servers/i-5", entry_text(5));
+        CHECK(watched.wait_for([&] { return watched.lists(5); }));
+    }
+}
+
 TEST_CASE("a second restore before the first one is digested loses no later change") {
     followed_registry watched;
     REQUIRE(watched.wait_for([&] { return watched.list.hosts.size() == 3; }));
