node: Keep a target leaving for its whole incarnation

Callers would be sent to a draining target again, for up to the time in which it writes anew, where the first reader of a restored registry has just started: it knows only the copy, and its list has the higher era, so all nodes take it.

Cause: the state of an entry was replaced by whatever list is newer, although leaving is final for an incarnation. Found by reading; 'a target that is leaving does not become live again...' failed before.

--- a/libraries/node/host_list.cpp
+++ b/libraries/node/host_list.cpp
@@ -98,15 +98,22 @@
     if (in_force.empty()) {
         return merged;
     }
-    std::unordered_map<std::string_view, std::string_view> instances;
+    std::unordered_map<std::string_view, listed_host const*> known_hosts;
     for (auto const& entry : in_force) {
-        instances[entry.host] = entry.instance;
+        known_hosts[entry.host] = &entry;
     }
     std::erase_if(merged, [&](listed_host const& entry) {
-        auto const known = instances.find(entry.host);
-        bool const is_in_force = known != instances.end() && known->second == entry.instance;
+        auto const known = known_hosts.find(entry.host);
+        bool const is_in_force = known != known_hosts.end() && known->second->instance == entry.instance;
         return entry.unconfirmed && !is_in_force;
     });
+    for (auto& entry : merged) {
+        auto const known = known_hosts.find(entry.host);
+        bool const is_same_incarnation = known != known_hosts.end() && !entry.instance.empty() &&
+                                         known->second->instance == entry.instance &&
+                                         known->second->started_ms == entry.started_ms;
+        entry.leaving = entry.leaving || (is_same_incarnation && known->second->leaving);
+    }
     return merged;
 }
 
--- a/libraries/node/host_list.hpp
+++ b/libraries/node/host_list.hpp
@@ -39,7 +39,8 @@
 result<host_list> parse_host_list(std::string const& text);
 
 /// The hosts in force after a newer list: its confirmed hosts, and those of its unconfirmed hosts that are in
-/// force already with the same instance. A node that has no list yet uses all of them.
+/// force already with the same instance. A node that has no list yet uses all of them. A target that is
+/// leaving stays so for its whole incarnation.
 std::vector<listed_host> merge_host_list(std::vector<listed_host> const& in_force, host_list const& newer);
 
 /// The inverse of `parse_host_list`.
--- a/tests/node/host_list_test.cpp
+++ b/tests/node/host_list_test.cpp
@@ -52,3 +52,22 @@
     REQUIRE(read.hosts.size() == 2);
     CHECK(std::ranges::is_permutation(read.hosts, sent.hosts));
 }
+
+// A reader that has just started reads a copy of the registry in which a target that drains is still live.
+TEST_CASE("a target that is leaving does not become live again under the same incarnation") {
+    auto draining = host("10.0.0.1");
+    draining.leaving = true;
+    host_list const from_copy{.revision = 7, .hosts = {host("10.0.0.1")}};
+    CHECK(merge_host_list({draining}, from_copy).front().leaving);
+    SUBCASE("a new incarnation is live") {
+        auto restarted = host("10.0.0.1");
+        restarted.started_ms = 5;
+        CHECK_FALSE(merge_host_list({draining}, {7, {restarted}}).front().leaving);
+        CHECK_FALSE(merge_host_list({draining}, {7, {host("10.0.0.1", "i-2")}}).front().leaving);
+    }
+    SUBCASE("without an instance nothing tells incarnations apart") {
+        auto anonymous = host("10.0.0.1", "");
+        anonymous.leaving = true;
+        CHECK_FALSE(merge_host_list({anonymous}, {7, {host("10.0.0.1", "")}}).front().leaving);
+    }
+}
