--- a/libraries/node/request_router.cpp
+++ b/libraries/node/request_router.cpp
@@ -723,6 +723,7 @@
 }
 
 void request_router::log_unanswered(pending_call const& call, answer_message const& answer, time_point now) {
+    auto const limit = this->context.targets.rate_limit(this->target_of(call.attempt_host));
     auto const rounded = [](double milliseconds) { return std::to_string(std::llround(milliseconds)); };
     this->context.pending_effects.log(
         log_level::info, "request_ended",
@@ -736,6 +737,7 @@
          {"held_ms", rounded((now - call.arrived).milliseconds)},
          {"left_ms", rounded((call.deadline - now).milliseconds)},
          {"retry_after_ms", rounded(answer.retry_after_ms)},
+         {"target_limit", limit ? rounded(*limit) : ""},
          {"attempts_left", std::to_string(call.allowance.remaining())},
          {"configuration", std::to_string(this->context.configuration->revision())}});
 }
