platform, node: Show the epoch and age of what a node has in force

An operator could not see from which era of the registry a node's host list comes, nor since when a document is in force. The layout of the ordered revision moves to libraries/platform (document_revision.hpp), so that the status page and the log can name the epoch.

--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -1,6 +1,7 @@
 #include "node/node_core.hpp"
 
 #include "node/status_report.hpp"
+#include "platform/document_revision.hpp"
 #include "policy/rendezvous.hpp"
 
 #include <algorithm>
@@ -191,6 +192,7 @@
     if (this->documents.revision(event.document) != event.revision) {
         return;
     }
+    this->in_force_since.at(static_cast<std::size_t>(event.document)) = now;
     if (event.configuration != nullptr) {
         this->apply_configuration(std::move(event.configuration), now);
     }
@@ -278,9 +280,10 @@
     this->context.target_is_leaving = is_listed ? own->leaving : !this->hosts.empty();
     this->local_executor.set_listed_slots(is_listed ? own->slots : 0);
     this->configure_rate_limits(now);
-    this->context.pending_effects.log(
-        log_level::info, "host_list_in_force",
-        {{"revision", std::to_string(list.revision)}, {"hosts", std::to_string(this->hosts.size())}});
+    this->context.pending_effects.log(log_level::info, "host_list_in_force",
+                                      {{"revision", std::to_string(list.revision)},
+                                       {"epoch", std::to_string(epoch_of(list.revision))},
+                                       {"hosts", std::to_string(this->hosts.size())}});
 }
 
 void node_core::on_phase(node_phase phase, time_point now) {
@@ -481,6 +484,7 @@
     snapshot->status_json = status_to_json({.context = this->context,
                                             .local = this->local_executor,
                                             .replicator = this->documents,
+                                            .in_force_since = this->in_force_since,
                                             .ready = snapshot->ready,
                                             .reads_platform = snapshot->reads_platform},
                                            now);
--- a/libraries/node/node_core.hpp
+++ b/libraries/node/node_core.hpp
@@ -74,6 +74,7 @@
     document_replicator documents;
     std::vector<listed_host> hosts;
     rate_tolerance tolerance;
+    std::array<time_point, document_kind_count> in_force_since; ///< By document kind.
     time_point last_event_time;
     time_point next_gossip;
     time_point next_urgent_gossip;
--- a/libraries/node/status_report.cpp
+++ b/libraries/node/status_report.cpp
@@ -1,5 +1,7 @@
 #include "node/status_report.hpp"
 
+#include "platform/document_revision.hpp"
+
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -90,6 +92,10 @@
         {"limiting", sources.local.admission().is_limiting()},
         {"capacity_per_second", sources.local.admission().capacity_per_second()},
         {"tickets", number(sources.local.stored_ticket_count())}};
+    auto const hosts_revision = sources.replicator.revision(document_kind::hosts);
+    auto const age = [&](document_kind kind) {
+        return (now - sources.in_force_since.at(static_cast<std::size_t>(kind))).milliseconds;
+    };
     QJsonObject const status{
         {"host", to_qstring(context.options.host)},
         {"failure_domain", to_qstring(context.options.failure_domain)},
@@ -99,7 +105,10 @@
         {"ready", sources.ready},
         {"control", to_qstring(name_of(context.options.mode))},
         {"configuration_revision", number(sources.replicator.revision(document_kind::configuration))},
-        {"hosts_revision", number(sources.replicator.revision(document_kind::hosts))},
+        {"configuration_age_ms", age(document_kind::configuration)},
+        {"hosts_revision", number(hosts_revision)},
+        {"hosts_epoch", number(epoch_of(hosts_revision))},
+        {"hosts_age_ms", age(document_kind::hosts)},
         {"reads_platform", sources.reads_platform},
         {"rights", rights},
         {"target", target},
--- a/libraries/node/status_report.hpp
+++ b/libraries/node/status_report.hpp
@@ -13,6 +13,7 @@
     node_context const& context;
     executor const& local;
     document_replicator const& replicator;
+    std::array<time_point, document_kind_count> const& in_force_since; ///< By document kind.
     bool ready{false};
     bool reads_platform{false};
 };
--- a/libraries/platform/document_revision.hpp
+++ b/libraries/platform/document_revision.hpp
@@ -1,22 +1,28 @@
-/// Orders the states of the registry, also across restores from a copy, which give revisions out again.
+/// Revisions of documents from a platform that can come back from a copy and then gives its own revisions out
+/// again.
 #pragma once
 
 #include <algorithm>
 #include <cstdint>
 
-namespace caraway::registry {
+namespace caraway {
 
-/// The registry counts its restores: the era rises by one with each. 0 while it has stated none.
-inline constexpr std::uint64_t max_era = (std::uint64_t{1} << 20U) - 1;
-/// States that a reader may tell apart at one revision: unconfirmed entries expire without a change of it.
+/// The epoch counts the restores of the platform; 0 where the platform does not state it.
+inline constexpr std::uint64_t max_epoch = (std::uint64_t{1} << 20U) - 1;
+/// States that a reader may tell apart at one revision of the platform: unconfirmed entries expire without a
+/// change of it.
 inline constexpr std::uint64_t steps_per_revision = 256;
+inline constexpr std::uint64_t max_platform_revision = (std::uint64_t{1} << 36U) - 1;
 
-/// A number that rises with the era and, within an era, with the revision. The numbers up to the next
-/// revision's are the steps of this one.
-constexpr std::uint64_t make_position(std::uint64_t era, std::uint64_t revision) {
-    constexpr unsigned int revision_bits = 36;
-    constexpr std::uint64_t max_revision = (std::uint64_t{1} << revision_bits) - 1;
-    return ((era << revision_bits) | std::min(revision, max_revision)) * steps_per_revision;
+/// A revision that rises with the epoch and, within an epoch, with the platform's revision. The numbers up to
+/// the next one are the steps of this one.
+constexpr std::uint64_t make_document_revision(std::uint64_t epoch, std::uint64_t platform_revision) {
+    return (epoch * (max_platform_revision + 1) + std::min(platform_revision, max_platform_revision)) *
+           steps_per_revision;
 }
 
-} // namespace caraway::registry
+constexpr std::uint64_t epoch_of(std::uint64_t document_revision) {
+    return document_revision / steps_per_revision / (max_platform_revision + 1);
+}
+
+} // namespace caraway
--- a/tests/platform/registry_documents_test.cpp
+++ b/tests/platform/registry_documents_test.cpp
@@ -1,7 +1,7 @@
 /// Translation of the registry's entries into the product's configuration and host list.
 
+#include "platform/document_revision.hpp"
 #include "platform/registry_documents.hpp"
-#include "platform/registry_position.hpp"
 
 #include "base/digest.hpp"
 
@@ -156,8 +156,9 @@
 }
 
 TEST_CASE("a later era follows every revision of an earlier one") {
-    CHECK(make_position(2, 1) > make_position(1, 1'000'000'000));
-    CHECK(make_position(2, 5) > make_position(2, 4));
-    CHECK(make_position(0, 8) == make_position(0, 7) + steps_per_revision);
-    CHECK(make_position(max_era, ~std::uint64_t{0}) > make_position(max_era, 0));
+    CHECK(make_document_revision(2, 1) > make_document_revision(1, 1'000'000'000));
+    CHECK(epoch_of(make_document_revision(2, 5) + 3) == 2);
+    CHECK(make_document_revision(2, 5) > make_document_revision(2, 4));
+    CHECK(make_document_revision(0, 8) == make_document_revision(0, 7) + steps_per_revision);
+    CHECK(make_document_revision(max_epoch, ~std::uint64_t{0}) > make_document_revision(max_epoch, 0));
 }
