--- a/tests/system/platform_test.cpp
+++ b/tests/system/platform_test.cpp
@@ -10,6 +10,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -45,6 +47,26 @@
         std::lock_guard const guard(this->mutex);
         return this->requests;
     }
+    /// The greatest number of requests in any window of this length.
+    std::size_t most_in_window(std::chrono::milliseconds window) {
+        std::lock_guard const guard(this->mutex);
+        std::size_t most = 0;
+        for (auto first = this->arrivals.begin(); first != this->arrivals.end(); ++first) {
+            auto const end = std::upper_bound(first, this->arrivals.end(), *first + window);
+            most = std::max(most, static_cast<std::size_t>(end - first));
+        }
+        return most;
+    }
+    /// Every answer has this field from now on; `arrivals` are counted anew.
+    void set_statement(std::string name, std::string value) {
+        std::lock_guard const guard(this->mutex);
+        this->statement = {std::move(name), std::move(value)};
+        this->arrivals.clear();
+    }
+    std::size_t arrival_count() {
+        std::lock_guard const guard(this->mutex);
+        return this->arrivals.size();
+    }
 
 private:
     asio::awaitable<http_response> handle(http_request request) {
@@ -53,6 +75,7 @@
         {
             std::lock_guard const guard(this->mutex);
             this->requests.push_back(request);
+            this->arrivals.push_back(std::chrono::steady_clock::now());
         }
         unsigned int status = is_other_instance ? 421 : 200;
         std::string const path(request.target());
@@ -62,6 +85,10 @@
         auto answer = make_response(status, "answer to " + id);
         answer.set("Request-Id", id);
         answer.set("Server-Seal", "seal-of-" + this->instance);
+        std::lock_guard const guard(this->mutex);
+        if (!this->statement.first.empty()) {
+            answer.set(this->statement.first, this->statement.second);
+        }
         co_return answer;
     }
 
@@ -84,6 +111,8 @@
     std::string instance;
     std::mutex mutex;
     std::vector<http_request> requests;
+    std::vector<std::chrono::steady_clock::time_point> arrivals;
+    std::pair<std::string, std::string> statement;
     http_service service;
 };
 
@@ -94,7 +123,7 @@
         : registry(this->address(9), registry_listener_port), front(this->address(1), "i-front"),
           back(this->address(2), "i-back") {
         std::filesystem::create_directories(this->folder);
-        this->registry.put("op/config", this->configuration());
+        this->registry.put("op/config", configuration(3));
         this->register_target("front", 1);
         this->register_target("back", 2);
         this->start("front", 1);
@@ -158,6 +187,14 @@
         return ended;
     }
 
+    /// Kills the node and starts it again beside its target, which keeps running.
+    void restart(int number, std::string const& service) {
+        this->send_signal(number, SIGKILL);
+        REQUIRE(this->wait_exit(number));
+        this->processes.at(static_cast<std::size_t>(number - 1)) =
+            start_node(this->folder + "/" + service + ".toml", this->folder + "/" + service + ".log");
+    }
+
 private:
     void start(std::string const& service, int number) {
         auto const ip = this->address(number);
@@ -177,18 +214,22 @@
         this->processes.push_back(start_node(path, this->folder + "/" + service + ".log"));
     }
 
-    std::string configuration() const {
-        return R"({"version":3,"routes":[
+public:
+    /// `prefix`: of the route to the service "back".
+    static std::string configuration(int version, std::string const& prefix = "/back/") {
+        return R"({"version":)" + std::to_string(version) + R"(,"routes":[
             {"name":"front","host":"shop.example","prefix":"/front/","kind":"safe","timeout-ms":2500,"service":"front",
              "max-attempts":2,"priority":1},
             {"name":"pay","host":"shop.example","prefix":"/pay/","kind":"unsafe","timeout-ms":2500,"service":"back",
              "max-attempts":2,"priority":0},
-            {"name":"back","host":"shop.example","prefix":"/back/","kind":"safe","service":"back","max-attempts":2,
+            {"name":"back","host":"shop.example","prefix":")" +
+               prefix + R"(","kind":"safe","service":"back","max-attempts":2,
              "public":true}],
             "services":[{"name":"front"},{"name":"back"}],
             "tenants":[{"name":"org","api-keys":["k1"],"rate-per-s":500,"burst":500}]})";
     }
 
+private:
     std::string prefix{"127." + std::to_string(16 + random_number() % 200) + ".77"};
     std::string folder{
         std::filesystem::temp_directory_path() /
@@ -261,3 +302,48 @@
     CHECK(wait_until([&] { return !pair.ready(2); }, std::chrono::seconds(2)));
     CHECK(pair.wait_exit(2));
 }
+
+// A target in need named a limit, and was sent as much as before; the process beside it forgot the limit when
+// it restarted.
+TEST_CASE("a target that states a limit gets no more than that from all nodes, also after a restart") {
+    constexpr double limit = 5;
+    constexpr std::chrono::milliseconds window{4000};
+    constexpr std::size_t allowed = 35; // 1.5 times the limit, and 5 requests.
+    platform_pair pair;
+    REQUIRE(pair.wait_ready());
+    pair.back.set_statement("Server-Limit", std::to_string(limit));
+    REQUIRE(pair.send_request(1, "GET", "/back/x", "").status == 200);
+    int refused = 0;
+    auto const send_for = [&pair, &refused](std::chrono::milliseconds span) {
+        auto const end = std::chrono::steady_clock::now() + span;
+        for (int count = 0; count < 2000 && std::chrono::steady_clock::now() < end; ++count) {
+            auto const answer = pair.send_request(1 + count % 2, "GET", "/back/x", "");
+            refused += answer.status == 503 && std::stod("0" + answer.header("Retry-After")) > 0 ? 1 : 0;
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+    };
+    send_for(std::chrono::milliseconds(4000));
+    pair.restart(2, "back");
+    send_for(std::chrono::milliseconds(5000));
+    CHECK(pair.back.most_in_window(window) <= allowed);
+    CHECK(pair.back.arrival_count() > 10);
+    CHECK(refused > 0);
+}
+
+// The registry still lists the target as ready: only the target's answers say that it is leaving.
+TEST_CASE("a target that states that it is leaving gets no request more, also after a restart") {
+    platform_pair pair;
+    REQUIRE(pair.wait_ready());
+    pair.back.set_statement("Server-Leaving", "1");
+    REQUIRE(pair.send_request(1, "GET", "/back/x", "").status == 200);
+    auto const arrived = pair.back.arrival_count();
+    CHECK(pair.send_request(1, "GET", "/back/x", "").status == 503);
+    CHECK(pair.send_request(2, "POST", "/pay/1", "k1").status == 503);
+    pair.restart(2, "back");
+    REQUIRE(wait_until([&] { return pair.ready(2); }, std::chrono::seconds(10)));
+    for (int count = 0; count < 20; ++count) {
+        CHECK(pair.send_request(1, "GET", "/back/x", "").status == 503);
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    CHECK(pair.back.arrival_count() == arrived);
+}
