--- a/tests/system/platform_test.cpp
+++ b/tests/system/platform_test.cpp
@@ -347,3 +347,27 @@
     }
     CHECK(pair.back.arrival_count() == arrived);
 }
+
+// The registry came back from a copy and gave revisions out again, and no node took a configuration any more.
+TEST_CASE("a configuration that follows a restore of the registry is in force at every node") {
+    platform_pair pair;
+    REQUIRE(pair.wait_ready());
+    auto const serves = [&pair](std::string const& path) {
+        return pair.send_request(1, "GET", path, "").status == 200 &&
+               pair.send_request(2, "GET", path, "").status == 200;
+    };
+    pair.registry.take_copy();
+    pair.registry.put("op/config", platform_pair::configuration(5, "/second/"));
+    pair.registry.put("op/config", platform_pair::configuration(6, "/third/"));
+    REQUIRE(wait_until([&] { return serves("/third/x"); }, std::chrono::seconds(5)));
+    pair.registry.restore();
+    // The copy holds version 3. What is in force stays so until the operator has written again.
+    auto const end = std::chrono::steady_clock::now() + std::chrono::seconds(4);
+    while (std::chrono::steady_clock::now() < end) {
+        CHECK(serves("/third/x"));
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    }
+    pair.registry.put("op/config", platform_pair::configuration(8, "/fourth/"));
+    CHECK(wait_until([&] { return serves("/fourth/x"); }, std::chrono::seconds(4)));
+    CHECK_FALSE(serves("/third/x"));
+}
