--- a/libraries/http/http_dialect.hpp
+++ b/libraries/http/http_dialect.hpp
@@ -28,6 +28,11 @@
     /// Requests per second that the target accepts from all hosts together, for as long as it states this.
     std::string target_rate_limit{"X-Caraway-Rate-Limit"};
     std::string target_leaving{"X-Caraway-Leaving"}; ///< "1": the target is about to end.
+    std::string target_cold{"X-Caraway-Cold-Ms"};    ///< How much longer the target is cold, in milliseconds.
+    /// Running and waiting requests and slots, separated by commas; a fourth figure states how long work
+    /// takes at this moment, in percent of the usual time.
+    std::string target_load{"X-Caraway-Load"};
+    std::string answering_instance; ///< In answers to health checks: the incarnation that answers.
 
     /// Targets echo the request id; an answer with another id belongs to another request.
     bool checks_request_id{false};
--- a/libraries/link/message.hpp
+++ b/libraries/link/message.hpp
@@ -66,12 +66,18 @@
     std::uint32_t target_rate_limit{0}; ///< In thousandths of a request per second.
     bool target_is_leaving{false};      ///< The target has stated that it is about to end.
     std::uint32_t target_senders{0};    ///< Hosts that sent requests for its target lately.
+    std::uint32_t target_cold_ms{0};    ///< How much longer the target is cold; 0 when it is warm.
+    /// How long work takes at the target at this moment, in percent of the usual time.
+    std::uint32_t target_work_time_percent{100};
+    /// How long a new request waits for a slot of the target, in milliseconds.
+    std::uint32_t expected_wait_ms{0};
 
     template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->incarnation, this->ticket_window, this->in_flight, this->limit, this->leaving,
                 this->serving, this->target, this->target_is_limited, this->target_rate_limit,
-                this->target_is_leaving, this->target_senders);
+                this->target_is_leaving, this->target_senders, this->target_cold_ms,
+                this->target_work_time_percent, this->expected_wait_ms);
     }
     bool operator==(host_report const&) const = default;
 };
@@ -121,6 +127,13 @@
     std::string calling_service; ///< Service of the host at which the request originated.
     bool idempotent{true};
     bool is_nested_call{false}; ///< Made by a target while it serves another request.
+    /// The organisation and priority class of the root request that the load is charged to. For a call whose
+    /// parent is unknown they are drawn from the requests that may have made it; they decide nothing about
+    /// the call itself.
+    std::string charged_organisation;
+    std::uint8_t charged_priority{0};
+    /// Offered requests that this one stands for: the reciprocal of the fraction admitted at its entry node.
+    double offered_weight{1};
 
     template <typename Visitor>
     void visit(Visitor&& visitor) {
@@ -128,7 +141,8 @@
                 this->headers, this->body, this->deadline_ms, this->priority, this->selection_hash,
                 this->depth, this->allowance, this->ticket, this->trace_id, this->parent_span,
                 this->authority, this->instance, this->calling_service, this->idempotent,
-                this->is_nested_call);
+                this->is_nested_call, this->charged_organisation, this->charged_priority,
+                this->offered_weight);
     }
 };
 
@@ -136,14 +150,27 @@
 struct admission_report {
     std::string service;
     std::array<double, 3> admission_fractions{1, 1, 1};
+    double age_ms{0}; ///< Time since a host of the service computed them.
 
     template <typename Visitor>
     void visit(Visitor&& visitor) {
-        visitor(this->service, this->admission_fractions);
+        visitor(this->service, this->admission_fractions, this->age_ms);
     }
     bool operator==(admission_report const&) const = default;
 };
 
+/// Time that one request of a route takes at the targets of one service, with all calls below it.
+struct service_cost {
+    std::string service;
+    double milliseconds{0};
+
+    template <typename Visitor>
+    void visit(Visitor&& visitor) {
+        visitor(this->service, this->milliseconds);
+    }
+    bool operator==(service_cost const&) const = default;
+};
+
 /// Answer to a forwarded request, with the state of the call subtree that the sender needs.
 struct answer_message {
     std::uint64_t call_id{0};
@@ -156,11 +183,12 @@
     std::uint8_t allowance_left{0};
     std::vector<admission_report> admissions;
     host_report report;
+    std::vector<service_cost> costs; ///< Of one request of the call's route; empty if not known.
 
     template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->call_id, this->result, this->code, this->status, this->headers, this->body,
-                this->retry_after_ms, this->allowance_left, this->admissions, this->report);
+                this->retry_after_ms, this->allowance_left, this->admissions, this->report, this->costs);
     }
 };
 
@@ -202,17 +230,19 @@
     bool operator==(suspect_report const&) const = default;
 };
 
-/// What the sender knows of a target that states a limit, or that it is leaving.
+/// What the sender knows of a target that states a limit, or that it is leaving or cold.
 struct target_report {
     std::uint32_t target{0};
     bool is_limited{false};
     bool is_leaving{false};
     std::uint32_t rate_limit{0}; ///< In thousandths of a request per second.
     double age_ms{0};            ///< Time since the host beside the target reported it.
+    double cold_ms{0};           ///< How much longer the target was cold when that was reported.
 
     template <typename Visitor>
     void visit(Visitor&& visitor) {
-        visitor(this->target, this->is_limited, this->is_leaving, this->rate_limit, this->age_ms);
+        visitor(this->target, this->is_limited, this->is_leaving, this->rate_limit, this->age_ms,
+                this->cold_ms);
     }
     bool operator==(target_report const&) const = default;
 };
