node: Move host selection and entry admission out of request_router

request_router held checks, admission, choice of host, attempts and replies in one class. host_selector now chooses the executing host, and entry_admission decides who is let in. Behaviour is unchanged: the tests of node, link, http and policy pass as before.

--- /dev/null
+++ b/libraries/node/host_selector.cpp
@@ -0,0 +1,60 @@
+#include "node/host_selector.hpp"
+
+#include "base/digest.hpp"
+
+#include <algorithm>
+
+namespace caraway {
+
+std::vector<candidate_host> host_selector::candidates_for(selection_request const& request,
+                                                          time_point now) const {
+    auto candidates = this->context.peers.candidates(request.service, now);
+    bool const own = request.service == this->context.options.service &&
+                     this->context.phase == node_phase::serving && !this->local_executor.target_is_leaving();
+    if (own) {
+        auto const report = this->context.make_own_report();
+        candidates.push_back({this->context.options.host, true, report.in_flight, report.limit, {0}});
+    }
+    std::erase_if(candidates, [this](candidate_host const& candidate) {
+        return this->context.targets.is_leaving(this->target_of(candidate.host));
+    });
+    auto const is_unlimited = [this](candidate_host const& candidate) {
+        return !this->context.targets.rate_limit(this->target_of(candidate.host));
+    };
+    // After such a refusal the next attempt may be the last, so it goes to a target that has stated no limit.
+    bool const needs_unlimited =
+        request.was_refused_for_limit && std::ranges::any_of(candidates, is_unlimited);
+    for (auto& candidate : candidates) {
+        candidate.has_room = needs_unlimited
+                                 ? is_unlimited(candidate)
+                                 : this->context.targets.has_room(this->target_of(candidate.host), now);
+    }
+    return candidates;
+}
+
+std::optional<std::string> host_selector::choose(selection_request const& request, time_point now) {
+    return this->context.chooser.choose(this->candidates_for(request, now), request.idempotent,
+                                        random_number(), now);
+}
+
+bool host_selector::has_target_with_room(selection_request const& request, time_point now) const {
+    return std::ranges::any_of(this->candidates_for(request, now), &candidate_host::has_room);
+}
+
+target_id host_selector::target_of(std::string const& host) const {
+    if (host == this->context.options.host) {
+        return this->context.own_target_id;
+    }
+    auto const* peer = this->context.peers.find(host);
+    return peer == nullptr ? 0 : peer->target;
+}
+
+std::string host_selector::instance_of(std::string const& host) const {
+    if (host == this->context.options.host) {
+        return this->context.own_target_instance;
+    }
+    auto const* peer = this->context.peers.find(host);
+    return peer == nullptr ? "" : peer->entry.instance;
+}
+
+} // namespace caraway
--- a/libraries/node/request_router.cpp
+++ b/libraries/node/request_router.cpp
@@ -79,6 +79,12 @@
     return matched.service;
 }
 
+selection_request selection_of(pending_call const& call) {
+    return {.service = call.service,
+            .idempotent = call.idempotent,
+            .was_refused_for_limit = call.was_refused_for_limit};
+}
+
 span make_span(pending_call const& call, answer_message const& answer) {
     span call_span{.trace_id = call.request.trace_id,
                    .span_id = call.request.parent_span,
@@ -99,7 +105,7 @@
 } // namespace
 
 request_router::request_router(node_context& shared, executor& own_executor)
-    : context(shared), local_executor(own_executor) {}
+    : context(shared), admission(shared), local_executor(own_executor), selector(shared, own_executor) {}
 
 outcome request_router::unsent_outcome(pending_call const& call) {
     bool const may_have_copies = call.needs_ticket && (call.parent == 0 || call.is_target_retry);
@@ -288,7 +294,7 @@
 }
 
 std::optional<ticket> request_router::make_ticket(pending_call const& call, time_point now) {
-    auto const host = this->choose_host(call, now);
+    auto const host = this->selector.choose(selection_of(call), now);
     if (!host) {
         return std::nullopt;
     }
@@ -315,17 +321,8 @@
 }
 
 void request_router::admit(pending_call&& call, time_point now) {
-    auto const& organisation = call.request.organisation;
-    if (this->context.has_full_control()) {
-        auto fraction = this->context.admissions.min_fraction(call.request.route, organisation,
-                                                              call.request.priority, now);
-        // Critical requests are exempt from the goodput limit: shedding the others relieves them as well.
-        if (call.request.priority != static_cast<std::uint8_t>(priority_class::critical)) {
-            fraction = std::min(fraction, this->goodput.admission_fraction(call.request.route, now));
-        }
-        if (selection_position(call.request.selection_hash) >= fraction) {
-            return this->finish_with_error(call, {result_code::overloaded, overload_retry_after_ms}, now);
-        }
+    if (!this->admission.admits(call.request, now)) {
+        return this->finish_with_error(call, {result_code::overloaded, overload_retry_after_ms}, now);
     }
     auto const id = call.id;
     this->by_listener_request[{call.side, call.listener_request_id}] = id;
@@ -419,55 +416,6 @@
     return counts;
 }
 
-std::vector<candidate_host> request_router::candidates_for(pending_call const& call, time_point now) {
-    auto candidates = this->context.peers.candidates(call.service, now);
-    bool const own = call.service == this->context.options.service &&
-                     this->context.phase == node_phase::serving && !this->local_executor.target_is_leaving();
-    if (own) {
-        auto const report = this->context.make_own_report();
-        candidates.push_back({this->context.options.host, true, report.in_flight, report.limit, {0}});
-    }
-    std::erase_if(candidates, [this](candidate_host const& candidate) {
-        return this->context.targets.is_leaving(this->target_of(candidate.host));
-    });
-    auto const is_unlimited = [this](candidate_host const& candidate) {
-        return !this->context.targets.rate_limit(this->target_of(candidate.host));
-    };
-    // After such a refusal the next attempt may be the last, so it goes to a target that has stated no limit.
-    bool const needs_unlimited = call.was_refused_for_limit && std::ranges::any_of(candidates, is_unlimited);
-    for (auto& candidate : candidates) {
-        candidate.has_room = needs_unlimited
-                                 ? is_unlimited(candidate)
-                                 : this->context.targets.has_room(this->target_of(candidate.host), now);
-    }
-    return candidates;
-}
-
-std::optional<std::string> request_router::choose_host(pending_call const& call, time_point now) {
-    return this->context.chooser.choose(this->candidates_for(call, now), call.idempotent, random_number(),
-                                        now);
-}
-
-bool request_router::has_target_with_room(pending_call const& call, time_point now) {
-    return std::ranges::any_of(this->candidates_for(call, now), &candidate_host::has_room);
-}
-
-target_id request_router::target_of(std::string const& host) const {
-    if (host == this->context.options.host) {
-        return this->context.own_target_id;
-    }
-    auto const* peer = this->context.peers.find(host);
-    return peer == nullptr ? 0 : peer->target;
-}
-
-std::string request_router::instance_of(std::string const& host) const {
-    if (host == this->context.options.host) {
-        return this->context.own_target_instance;
-    }
-    auto const* peer = this->context.peers.find(host);
-    return peer == nullptr ? "" : peer->entry.instance;
-}
-
 bool request_router::is_ticket_host_gone(pending_call const& call) const {
     if (call.parsed_ticket->host == this->context.options.host) {
         return call.parsed_ticket->incarnation != this->context.incarnation;
@@ -498,7 +446,7 @@
         this->assign_nested_ticket(call, now);
         host = call.parsed_ticket ? std::optional(call.parsed_ticket->host) : std::nullopt;
     } else {
-        host = this->choose_host(call, now);
+        host = this->selector.choose(selection_of(call), now);
     }
     if (host) {
         return this->send_attempt(call, *host, now);
@@ -547,7 +495,7 @@
     auto& allowance = this->allowance_of(call);
     int const allowance_part = allowance.reserve_for_call();
     call.request.allowance = static_cast<std::uint8_t>(allowance_part);
-    call.request.instance = this->instance_of(host);
+    call.request.instance = this->selector.instance_of(host);
     // The request is copied rather than moved, since it may have to be sent again.
     bool const sent = this->context.send_to_host(host, call.request, now, 0, &call.connection);
     if (!sent) {
@@ -568,7 +516,7 @@
     call.stage = pending_call::call_stage::in_flight;
     this->by_call_id[call.call_id] = call.id;
     this->context.chooser.record_sent(host, now);
-    this->context.targets.record_sent(this->target_of(host), now);
+    this->context.targets.record_sent(this->selector.target_of(host), now);
 }
 
 void request_router::record_reports(pending_call const& call, std::string const& from,
@@ -577,24 +525,14 @@
     if (answer.code == result_code::target_limited) {
         this->context.targets.record_refusal(answer.report.target, now);
     }
-    auto* parent = this->local_executor.find(call.parent != 0 ? call.parent : call.inferred_parent);
     // A host whose target has stated a limit refuses what the other targets of the service may still accept.
-    bool const others_have_room = answer.report.target_is_limited && this->has_target_with_room(call, now);
-    for (auto const& report : answer.admissions) {
-        if (others_have_room && report.service == call.service) {
-            continue;
-        }
-        this->context.admissions.update(call.request.route, report.service, call.request.organisation,
-                                        report.admission_fractions, now);
-        if (parent == nullptr) {
-            continue;
-        }
-        auto const [known, inserted] =
-            parent->admissions.try_emplace(report.service, report.admission_fractions);
-        for (std::size_t index = 0; !inserted && index < report.admission_fractions.size(); ++index) {
-            known->second.at(index) = std::min(known->second.at(index), report.admission_fractions.at(index));
-        }
-    }
+    bool const others_have_room =
+        answer.report.target_is_limited && this->selector.has_target_with_room(selection_of(call), now);
+    this->admission.record_reports(
+        call.request, answer.admissions,
+        {.service_to_skip = others_have_room ? call.service : "",
+         .parent = this->local_executor.find(call.parent != 0 ? call.parent : call.inferred_parent)},
+        now);
 }
 
 bool request_router::try_acquire_retry(pending_call& call, answer_message const& answer, time_point now) {
@@ -613,7 +551,7 @@
     if (answer.code == result_code::target_limited) {
         // Nothing reached a target, so that the budgets against repeats are not charged.
         call.was_refused_for_limit = true;
-        return this->has_target_with_room(call, now) && allowance.try_consume();
+        return this->selector.has_target_with_room(selection_of(call), now) && allowance.try_consume();
     }
     if (allowance.remaining() <= 0 ||
         !this->context.organisation_retries.try_consume(call.request.organisation)) {
@@ -723,7 +661,7 @@
 }
 
 void request_router::log_unanswered(pending_call const& call, answer_message const& answer, time_point now) {
-    auto const limit = this->context.targets.rate_limit(this->target_of(call.attempt_host));
+    auto const limit = this->context.targets.rate_limit(this->selector.target_of(call.attempt_host));
     auto const rounded = [](double milliseconds) { return std::to_string(std::llround(milliseconds)); };
     this->context.pending_effects.log(
         log_level::info, "request_ended",
@@ -746,8 +684,8 @@
     bool const is_root = call.parent == 0 && !call.request.is_nested_call;
     bool const is_late = answer.code == result_code::deadline_passed && call.was_sent;
     if (is_root && (is_late || answer.code == result_code::ok)) {
-        this->goodput.record_outcome(call.request.route,
-                                     !is_late && answer.status < first_server_error_status, now);
+        this->admission.record_outcome(call.request.route,
+                                       !is_late && answer.status < first_server_error_status, now);
     }
 }
 
--- a/libraries/node/request_router.hpp
+++ b/libraries/node/request_router.hpp
@@ -4,9 +4,10 @@
 /// Calls that the own target makes on behalf of a request it is serving are routed here as well.
 #pragma once
 
+#include "node/entry_admission.hpp"
 #include "node/executor.hpp"
+#include "node/host_selector.hpp"
 #include "node/node_context.hpp"
-#include "policy/goodput_limiter.hpp"
 
 #include <deque>
 #include <map>
@@ -67,7 +68,7 @@
     void cancel_call(std::uint64_t call, time_point now);
     void run_periodic_tasks(time_point now);
     /// Removes expired entries; has to be called every few seconds.
-    void remove_expired(time_point now) { this->goodput.remove_expired(now); }
+    void remove_expired(time_point now) { this->admission.remove_expired(now); }
     /// Dispatches the requests for which rate tokens have arrived, and refuses those that waited too long.
     void process_waiting_requests(time_point now);
 
@@ -106,22 +107,12 @@
     void refuse_for_rate(pending_call& call, time_point now);
     bool acquire_per_host_token(std::string const& organisation, time_point now);
     void dispatch(pending_call& call, time_point now);
-    std::optional<std::string> choose_host(pending_call const& call, time_point now);
-    /// The instance of the host's target that the host list names; empty when it names none.
-    std::string instance_of(std::string const& host) const;
     /// Whether the incarnation that the ticket is bound to has ended or left the host list.
     bool is_ticket_host_gone(pending_call const& call) const;
     void send_attempt(pending_call& call, std::string const& host, time_point now);
     /// Spends one retry of the call's allowance and of the organisation's and the service's budgets. False
     /// when the answer must not be retried, or a budget is exhausted.
     bool try_acquire_retry(pending_call& call, answer_message const& answer, time_point now);
-    /// The hosts that can run a request of the call's service.
-    std::vector<candidate_host> candidates_for(pending_call const& call, time_point now);
-    /// Whether a target of the call's service accepts another request of this node, by the limits that are
-    /// known.
-    bool has_target_with_room(pending_call const& call, time_point now);
-    /// The incarnation of the host's target; 0 when the host list names none.
-    target_id target_of(std::string const& host) const;
     /// The allowance that the call's retries are taken from: its parent's, else its own.
     retry_allowance& allowance_of(pending_call& call);
     /// Stores the host report and the admission fractions that came with an answer.
@@ -143,8 +134,9 @@
     static outcome unsent_outcome(pending_call const& call);
 
     node_context& context;
-    goodput_limiter goodput;
+    entry_admission admission;
     executor& local_executor;
+    host_selector selector;
     std::unordered_map<std::uint64_t, pending_call> calls;
     std::unordered_map<std::uint64_t, std::uint64_t> by_call_id;
     std::map<std::pair<listener_side, std::uint64_t>, std::uint64_t> by_listener_request;
