node: Send nothing new to a host whose link does not answer pings

A link counted as usable until its ping had been unanswered for 900 ms, so that hosts of a domain that is cut off kept getting requests for over a second; nested calls with 700 ms left failed there. After 150 ms without a pong other hosts of the service are offered alone; without others the silent ones are still offered.

--- a/libraries/node/peer_table.cpp
+++ b/libraries/node/peer_table.cpp
@@ -17,6 +17,8 @@
 constexpr duration rare_ping_interval{3000};
 /// When a ping stays unanswered for this long, a second connection is dialled.
 constexpr duration suspect_timeout{400};
+/// When a ping stays unanswered for this long, new requests go to other hosts of the service if there are any.
+constexpr duration silent_host_timeout{150};
 /// When a ping stays unanswered for this long, the connection is closed.
 constexpr duration ping_timeout{900};
 constexpr duration dial_timeout{1500};
@@ -352,8 +354,16 @@
     return found == this->peers.end() ? nullptr : &found->second.info;
 }
 
+bool peer_table::is_silent(peer_state const& peer, time_point now) {
+    return std::ranges::none_of(peer.dialled_links, [now](link_state const& link) {
+        bool const awaits_pong = link.unanswered_ping_sent_at.milliseconds > 0;
+        return link.open && (!awaits_pong || now - link.unanswered_ping_sent_at < silent_host_timeout);
+    });
+}
+
 std::vector<candidate_host> peer_table::candidates(std::string const& service, time_point now) {
     std::vector<candidate_host> found;
+    std::vector<candidate_host> silent;
     for (auto& [name, peer] : this->peers) {
         auto const& info = peer.info;
         bool const eligible = info.listed && info.entry.service == service && !info.entry.leaving &&
@@ -363,11 +373,12 @@
         }
         peer.link_requested_until = now + link_request_lifetime;
         if (info.has_report && info.report.serving && this->best_connection(peer) != 0) {
-            found.push_back({name, info.entry.failure_domain == this->domain, info.report.in_flight,
+            auto& group = is_silent(peer, now) ? silent : found;
+            group.push_back({name, info.entry.failure_domain == this->domain, info.report.in_flight,
                              info.report.limit, now - info.report_time});
         }
     }
-    return found;
+    return found.empty() ? silent : found;
 }
 
 std::vector<std::string> peer_table::connected_hosts() const {
--- a/libraries/node/peer_table.hpp
+++ b/libraries/node/peer_table.hpp
@@ -108,6 +108,8 @@
     void ping(link_state& link, host_report const& own_report, time_point now);
     bool needs_link(std::string const& host, peer_state const& peer, time_point now) const;
     connection_id best_connection(peer_state const& peer) const;
+    /// Whether no link to the host answers pings in time.
+    static bool is_silent(peer_state const& peer, time_point now);
 
     std::string host;
     std::string domain;
