node, platform: Empty a failure domain on the operator's request

The operator's key op/evacuate/DOMAIN asks that no request reach the targets of a failure domain until it is removed; nothing read it. The readers put it into the host list, in a value of its own, so that it spreads, is ordered and survives restarts and cuts like the hosts. At each node the domain's hosts are no candidates; a host of the domain refuses what still arrives or waits (domain_evacuated, not run), which costs the request nothing and is passed to another domain. What runs ends; callers of the domain are served elsewhere.

--- a/libraries/base/result_code.cpp
+++ b/libraries/base/result_code.cpp
@@ -79,6 +79,9 @@
      "The target has stated how many requests per second it accepts, and others use these up; nothing was "
      "run.",
      "Wait for the time in Retry-After; look for 'rate_limit' of the host's target in 'status'."},
+    {domain_evacuated, 503, "domain_evacuated",
+     "The operator has evacuated the failure domain of every host that could run it; nothing was run.",
+     "Wait for the time in Retry-After; look at 'evacuated_domains' in 'status'."},
     {configuration_syntax, 0, "configuration_syntax", "The file is not well-formed TOML.",
      "Mend the line that the message names."},
     {configuration_unknown_name, 0, "configuration_unknown_name", "No setting has this name.",
--- a/libraries/base/result_code.hpp
+++ b/libraries/base/result_code.hpp
@@ -55,6 +55,7 @@
     target_replaced = 315,
     answer_lost = 316,
     target_limited = 317,
+    domain_evacuated = 318,
 
     configuration_syntax = 400,
     configuration_unknown_name = 401,
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -139,6 +139,10 @@
     if (this->context.phase != node_phase::serving || this->target_is_leaving()) {
         return this->refuse_new(work, result_code::leaving, outcome::not_run, now);
     }
+    if (this->context.is_evacuated()) {
+        this->context.node_metrics.increment_counter("evacuation_refusals");
+        return this->refuse_new(work, result_code::domain_evacuated, outcome::not_run, now);
+    }
     if (this->executions.size() >= this->context.options.max_requests) {
         return this->refuse_new(work, result_code::node_busy, outcome::not_run, now);
     }
@@ -298,6 +302,9 @@
     if (this->local_target.is_leaving()) {
         return this->refuse_queued(result_code::leaving, now);
     }
+    if (this->context.is_evacuated()) {
+        return this->refuse_evacuated(now);
+    }
     this->start_next_suspect(now);
     std::vector<std::uint64_t> late;
     auto const capacity = static_cast<std::size_t>(this->concurrency_limit());
--- a/libraries/node/executor.hpp
+++ b/libraries/node/executor.hpp
@@ -96,6 +96,9 @@
         return this->context.target_is_leaving || this->local_target.is_leaving();
     }
 
+    /// Refuses all queued work because the own failure domain has been evacuated.
+    void refuse_evacuated(time_point now) { this->refuse_queued(result_code::domain_evacuated, now); }
+
     void apply_configuration();
     /// Sets how many requests the own target runs at once according to the host list; 0 when it does not say.
     void set_listed_slots(int count);
--- a/libraries/node/host_list.cpp
+++ b/libraries/node/host_list.cpp
@@ -17,6 +17,8 @@
 
 constexpr std::size_t bucket_count = 64;
 constexpr std::size_t max_host_name_length = 200;
+constexpr std::size_t max_evacuated_domains = 1000;
+constexpr auto domains_value = "domains";
 
 QString to_qstring(std::string const& value) {
     return QString::fromStdString(value);
@@ -76,6 +78,35 @@
     return {};
 }
 
+QJsonArray domains_to_json(std::vector<evacuated_domain> domains) {
+    std::ranges::sort(domains, {}, &evacuated_domain::name);
+    QJsonArray rows;
+    for (auto const& domain : domains) {
+        rows.append(QJsonObject{{"name", to_qstring(domain.name)}, {"since", QString::number(domain.since)}});
+    }
+    return rows;
+}
+
+result<void> read_domains(QJsonArray const& rows, std::vector<evacuated_domain>& domains) {
+    for (auto const& row : rows) {
+        auto const object = row.toObject();
+        evacuated_domain domain{.name = object.value("name").toString().toStdString(),
+                                .since = object.value("since").toString().toULongLong()};
+        bool const is_known =
+            std::ranges::find(domains, domain.name, &evacuated_domain::name) != domains.end();
+        bool const is_valid = !domain.name.empty() && domain.name.size() <= max_host_name_length &&
+                              domains.size() < max_evacuated_domains;
+        if (!is_valid) {
+            return fail({result_code::configuration_missing,
+                         "An evacuated failure domain has no valid name, or there are too many."});
+        }
+        if (!is_known) {
+            domains.push_back(std::move(domain));
+        }
+    }
+    return {};
+}
+
 std::string to_compact_json(QJsonObject const& object) {
     return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
 }
@@ -90,6 +121,7 @@
         return fail({result_code::configuration_wrong_type, "The host list has no revision."});
     }
     BOOST_LEAF_CHECK(read_hosts(object.value("hosts").toArray(), list.hosts));
+    BOOST_LEAF_CHECK(read_domains(object.value("evacuated_domains").toArray(), list.evacuated_domains));
     return list;
 }
 
@@ -122,7 +154,11 @@
     for (auto const& entry : list.hosts) {
         rows.append(to_json(entry));
     }
-    return to_compact_json({{"revision", QString::number(list.revision)}, {"hosts", rows}});
+    QJsonObject object{{"revision", QString::number(list.revision)}, {"hosts", rows}};
+    if (!list.evacuated_domains.empty()) {
+        object.insert("evacuated_domains", domains_to_json(list.evacuated_domains));
+    }
+    return to_compact_json(object);
 }
 
 bundle make_host_list_bundle(host_list const& list) {
@@ -134,14 +170,18 @@
     }
     bundle published;
     QJsonObject digests;
-    for (std::size_t index = 0; index < bucket_count; ++index) {
-        if (buckets[index].isEmpty()) {
-            continue;
-        }
-        auto const name = "hosts." + std::to_string(index);
-        auto const value = to_compact_json({{"hosts", buckets[index]}});
+    auto const add_value = [&](std::string const& name, std::string const& value) {
         digests.insert(to_qstring(name), to_qstring(value_digest(value)));
         published.values[name] = value;
+    };
+    for (std::size_t index = 0; index < bucket_count; ++index) {
+        if (!buckets[index].isEmpty()) {
+            add_value("hosts." + std::to_string(index), to_compact_json({{"hosts", buckets[index]}}));
+        }
+    }
+    if (!list.evacuated_domains.empty()) {
+        add_value(domains_value,
+                  to_compact_json({{"evacuated_domains", domains_to_json(list.evacuated_domains)}}));
     }
     published.manifest_text =
         to_compact_json({{"revision", QString::number(list.revision)}, {"values", digests}});
@@ -159,6 +199,7 @@
         }
         auto const object = QJsonDocument::fromJson(QByteArray::fromStdString(value->second)).object();
         BOOST_LEAF_CHECK(read_hosts(object.value("hosts").toArray(), list.hosts));
+        BOOST_LEAF_CHECK(read_domains(object.value("evacuated_domains").toArray(), list.evacuated_domains));
     }
     return list;
 }
--- a/libraries/node/host_list.hpp
+++ b/libraries/node/host_list.hpp
@@ -29,13 +29,23 @@
     bool operator==(listed_host const&) const = default;
 };
 
+/// A failure domain whose targets get no work until the operator takes the request back.
+struct evacuated_domain {
+    std::string name;
+    std::uint64_t since{0}; ///< Document revision of the operator's request; 0 when not listed.
+
+    bool operator==(evacuated_domain const&) const = default;
+};
+
 struct host_list {
     std::uint64_t revision{0};
     std::vector<listed_host> hosts;
+    std::vector<evacuated_domain> evacuated_domains;
 };
 
 /// Reads the platform's JSON: {"revision":"N","hosts":[{"host":..,"failure_domain":..,"service":..,"link":..,
-/// "state":"live"|"leaving"}]}. Optional fields have the names of the members of `listed_host`.
+/// "state":"live"|"leaving"}],"evacuated_domains":[{"name":..,"since":"N"}]}. Optional fields have the names
+/// of the members of `listed_host`; "evacuated_domains" and "since" may be left out.
 result<host_list> parse_host_list(std::string const& text);
 
 /// The hosts in force after a newer list: its confirmed hosts, and those of its unconfirmed hosts that are in
@@ -47,7 +57,7 @@
 std::string host_list_to_json(host_list const& list);
 
 /// Distributes the hosts over values by a hash of their names, so that a change of one host changes one value
-/// only. The same hosts give the same values on every node.
+/// only. The same hosts give the same values on every node. Evacuated domains have a value of their own.
 bundle make_host_list_bundle(host_list const& list);
 
 /// The inverse of `make_host_list_bundle`; fails when a value is missing or does not match its digest.
--- a/libraries/node/host_selector.cpp
+++ b/libraries/node/host_selector.cpp
@@ -15,8 +15,12 @@
         auto const report = this->context.make_own_report();
         candidates.push_back({this->context.options.host, true, report.in_flight, report.limit, {0}});
     }
-    std::erase_if(candidates, [this](candidate_host const& candidate) {
-        return this->context.targets.is_leaving(this->target_of(candidate.host));
+    std::erase_if(candidates, [this, &request](candidate_host const& candidate) {
+        auto const& domain = this->domain_of(candidate.host);
+        bool const is_evacuated =
+            this->context.evacuations.contains(domain) ||
+            std::ranges::find(request.refusing_domains, domain) != request.refusing_domains.end();
+        return is_evacuated || this->context.targets.is_leaving(this->target_of(candidate.host));
     });
     auto const is_unlimited = [this](candidate_host const& candidate) {
         return !this->context.targets.rate_limit(this->target_of(candidate.host));
@@ -41,6 +45,15 @@
     return std::ranges::any_of(this->candidates_for(request, now), &candidate_host::has_room);
 }
 
+std::string const& host_selector::domain_of(std::string const& host) const {
+    if (host == this->context.options.host) {
+        return this->context.options.failure_domain;
+    }
+    static std::string const unknown;
+    auto const* peer = this->context.peers.find(host);
+    return peer == nullptr ? unknown : peer->entry.failure_domain;
+}
+
 target_id host_selector::target_of(std::string const& host) const {
     if (host == this->context.options.host) {
         return this->context.own_target_id;
--- a/libraries/node/host_selector.hpp
+++ b/libraries/node/host_selector.hpp
@@ -16,6 +16,7 @@
     std::string const& service;
     bool idempotent{true};
     bool was_refused_for_limit{false}; ///< A target of the service had no room for it within its limit.
+    std::vector<std::string> const& refusing_domains; ///< Their hosts have refused it as evacuated.
 };
 
 class host_selector {
@@ -27,6 +28,11 @@
     std::optional<std::string> choose(selection_request const& request, time_point now);
     /// Whether a target of the service accepts another request of this node, by the limits that are known.
     bool has_target_with_room(selection_request const& request, time_point now) const;
+    bool has_candidate(selection_request const& request, time_point now) const {
+        return !this->candidates_for(request, now).empty();
+    }
+    /// The host's failure domain; empty when no host list has named the host.
+    std::string const& domain_of(std::string const& host) const;
     /// The incarnation of the host's target; 0 when the host list names none.
     target_id target_of(std::string const& host) const;
     /// The instance of the host's target that the host list names; empty when it names none.
--- a/libraries/node/node_context.hpp
+++ b/libraries/node/node_context.hpp
@@ -3,6 +3,7 @@
 
 #include "config/settings.hpp"
 #include "membership/rate_lease_manager.hpp"
+#include "node/domain_evacuations.hpp"
 #include "node/effects.hpp"
 #include "node/peer_table.hpp"
 #include "policy/admission_view.hpp"
@@ -71,6 +72,9 @@
                                                     .updated = now});
     }
 
+    /// Whether the operator has asked that the own target gets no new work.
+    bool is_evacuated() const { return this->evacuations.contains(this->options.failure_domain); }
+
     bool has_full_control() const { return this->options.mode == control_mode::full; }
 
     settings options;
@@ -89,6 +93,7 @@
     admission_view admissions;
     target_chooser chooser;
     target_state_table targets;
+    domain_evacuations evacuations;
     organisation_retry_budget organisation_retries;
     service_retry_budget service_retries;
     quarantine request_quarantine;
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -56,7 +56,7 @@
 node_core::node_core(settings wanted, platform_traits traits, std::uint64_t incarnation, lease_timing limits,
                      time_point started)
     : context(std::move(wanted), incarnation, with_tolerance(limits, traits.quota_tolerance), started),
-      local_executor(context, started), router(context, local_executor),
+      local_executor(context, started), evacuation(context, local_executor), router(context, local_executor),
       documents(context.pending_effects, started, traits.has_monotonic_reads),
       tolerance(traits.quota_tolerance), last_event_time(started) {
     this->context.make_own_report = [this] { return this->own_report(this->last_event_time); };
@@ -279,6 +279,7 @@
     // A list that names other hosts but not this one means that its target has left without notice.
     this->context.target_is_leaving = is_listed ? own->leaving : !this->hosts.empty();
     this->local_executor.set_listed_slots(is_listed ? own->slots : 0);
+    this->evacuation.apply_host_list(list, now);
     this->configure_rate_limits(now);
     this->context.pending_effects.log(log_level::info, "host_list_in_force",
                                       {{"revision", std::to_string(list.revision)},
@@ -382,6 +383,7 @@
 
 void node_core::run_periodic_tasks(time_point now) {
     this->last_event_time = now;
+    this->evacuation.run_periodic_tasks(now);
     this->local_executor.run_periodic_tasks(now);
     this->router.run_periodic_tasks(now);
     this->documents.run_periodic_tasks(now);
@@ -478,6 +480,8 @@
     node_metrics.set_gauge("target_limit", static_cast<double>(this->local_executor.concurrency_limit()));
     node_metrics.set_gauge("target_rate_limit", this->local_executor.target().rate_limit().value_or(-1));
     node_metrics.set_gauge("target_leaving", this->local_executor.target().is_leaving() ? 1 : 0);
+    node_metrics.set_gauge("domains_evacuated",
+                           static_cast<double>(this->context.evacuations.in_force().size()));
     node_metrics.set_gauge("links_open", static_cast<double>(this->context.peers.connected_hosts().size()));
     node_metrics.set_gauge("requests_live", static_cast<double>(this->router.call_count()));
     snapshot->metrics_text = node_metrics.to_prometheus();
--- a/libraries/node/node_core.hpp
+++ b/libraries/node/node_core.hpp
@@ -4,6 +4,7 @@
 
 #include "node/core_event.hpp"
 #include "node/document_replicator.hpp"
+#include "node/evacuation_control.hpp"
 #include "node/executor.hpp"
 #include "node/node_context.hpp"
 #include "node/request_router.hpp"
@@ -70,6 +71,7 @@
 
     node_context context;
     executor local_executor;
+    evacuation_control evacuation;
     request_router router;
     document_replicator documents;
     std::vector<listed_host> hosts;
--- a/libraries/node/peer_table.cpp
+++ b/libraries/node/peer_table.cpp
@@ -401,6 +401,16 @@
     return names;
 }
 
+std::vector<std::string> peer_table::hosts_in(std::string const& failure_domain) const {
+    std::vector<std::string> names;
+    for (auto const& [name, peer] : this->peers) {
+        if (peer.info.listed && peer.info.entry.failure_domain == failure_domain) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 std::map<std::string, std::set<std::string>> peer_table::domains() const {
     std::map<std::string, std::set<std::string>> result;
     for (auto const& [name, peer] : this->peers) {
--- a/libraries/node/peer_table.hpp
+++ b/libraries/node/peer_table.hpp
@@ -71,6 +71,7 @@
     std::vector<candidate_host> candidates(std::string const& service, time_point now);
     std::vector<std::string> connected_hosts() const;
     std::vector<std::string> listed_hosts() const;
+    std::vector<std::string> hosts_in(std::string const& failure_domain) const;
     std::map<std::string, std::set<std::string>> domains() const;
     std::size_t listed_count() const;
 
--- a/libraries/node/request_router.cpp
+++ b/libraries/node/request_router.cpp
@@ -82,7 +82,8 @@
 selection_request selection_of(pending_call const& call) {
     return {.service = call.service,
             .idempotent = call.idempotent,
-            .was_refused_for_limit = call.was_refused_for_limit};
+            .was_refused_for_limit = call.was_refused_for_limit,
+            .refusing_domains = call.refusing_domains};
 }
 
 span make_span(pending_call const& call, answer_message const& answer) {
@@ -312,8 +313,10 @@
     this->context.node_metrics.count_answer(result, reported_code);
     listener_answer answer{
         .id = call.listener_request_id, .status = entry.http_status, .body = std::string(entry.name) + "\n"};
-    answer.metadata =
-        answer_metadata{.result = result, .code = reported_code, .request_id = call.request.request_id};
+    answer.metadata = answer_metadata{.result = result,
+                                      .code = reported_code,
+                                      .request_id = call.request.request_id,
+                                      .retry_after_ms = issued_ticket ? 0 : overload_retry_after_ms};
     if (issued_ticket) {
         answer.metadata->ticket = issued_ticket->to_text(this->context.options.fleet_secret);
     }
@@ -544,6 +547,11 @@
     bool const refused_elsewhere =
         answer.result == outcome::not_run && is_retryable_on_another_host(answer.code);
     bool const lost = call.idempotent && is_retryable_if_idempotent(answer.code);
+    if (answer.code == result_code::domain_evacuated) {
+        // Nothing reached a target, and each failure domain refuses a call at most once.
+        call.refusing_domains.push_back(this->selector.domain_of(call.attempt_host));
+        return answer.result == outcome::not_run && this->selector.has_candidate(selection_of(call), now);
+    }
     if (!refused_elsewhere && !lost) {
         return false;
     }
@@ -573,7 +581,12 @@
         return;
     }
     this->by_call_id.erase(found);
-    this->context.chooser.record_answer(from, now - call.sent, is_failure(answer), is_refusal(answer), now);
+    if (answer.code == result_code::domain_evacuated) {
+        this->context.chooser.record_abandoned(from); // Its target had no part in it.
+    } else {
+        this->context.chooser.record_answer(from, now - call.sent, is_failure(answer), is_refusal(answer),
+                                            now);
+    }
     this->record_reports(call, from, answer, now);
     this->allowance_of(call).return_unused(answer.allowance_left, call.sent_allowance);
     call.sent_allowance = 0;
@@ -660,6 +673,14 @@
     return reply;
 }
 
+std::string request_router::evacuated_domains() const {
+    std::string names;
+    for (auto const& [name, entry] : this->context.evacuations.in_force()) {
+        names += (names.empty() ? "" : ",") + name;
+    }
+    return names;
+}
+
 void request_router::log_unanswered(pending_call const& call, answer_message const& answer, time_point now) {
     auto const limit = this->context.targets.rate_limit(this->selector.target_of(call.attempt_host));
     auto const rounded = [](double milliseconds) { return std::to_string(std::llround(milliseconds)); };
@@ -676,6 +697,7 @@
          {"left_ms", rounded((call.deadline - now).milliseconds)},
          {"retry_after_ms", rounded(answer.retry_after_ms)},
          {"target_limit", limit ? rounded(*limit) : ""},
+         {"evacuated", this->evacuated_domains()},
          {"attempts_left", std::to_string(call.allowance.remaining())},
          {"configuration", std::to_string(this->context.configuration->revision())}});
 }
--- a/libraries/node/request_router.hpp
+++ b/libraries/node/request_router.hpp
@@ -49,6 +49,7 @@
     time_point sent;                   ///< When the latest attempt was sent.
     bool was_sent{false};              ///< An attempt was sent and may have reached its host.
     bool was_refused_for_limit{false}; ///< A target of the service had no room for it within its limit.
+    std::vector<std::string> refusing_domains; ///< Failure domains whose hosts refused it as evacuated.
     bool caller_disconnected{false};
     bool is_target_retry{false}; ///< The target has already made a call with this idempotency key.
     int resends{0};              ///< Further transmissions of the same ticket.
@@ -123,6 +124,8 @@
     void finish_with_error(pending_call& call, call_error error, time_point now);
     /// Updates the goodput of the route that admission of its next requests depends on.
     void record_outcome(pending_call const& call, answer_message const& answer, time_point now);
+    /// The names of the evacuated failure domains, separated by commas.
+    std::string evacuated_domains() const;
     /// Logs the end of a request that the target did not answer, with the inputs of the decision.
     void log_unanswered(pending_call const& call, answer_message const& answer, time_point now);
     void finish_call(pending_call& call, answer_message&& answer, time_point now);
--- a/libraries/node/status_report.cpp
+++ b/libraries/node/status_report.cpp
@@ -64,6 +64,17 @@
     return rows;
 }
 
+QJsonArray evacuations_to_json(node_context const& context, time_point now) {
+    QJsonArray rows;
+    for (auto const& [name, entry] : context.evacuations.in_force()) {
+        rows.append(QJsonObject{{"domain", to_qstring(name)},
+                                {"since_revision", number(entry.since)},
+                                {"in_force_ms", (now - entry.in_force_since).milliseconds},
+                                {"kept_after_restore", context.evacuations.is_kept_after_restore(name)}});
+    }
+    return rows;
+}
+
 } // namespace
 
 std::string_view name_of(node_phase phase) {
@@ -109,6 +120,8 @@
         {"hosts_revision", number(hosts_revision)},
         {"hosts_epoch", number(epoch_of(hosts_revision))},
         {"hosts_age_ms", age(document_kind::hosts)},
+        {"evacuated", context.is_evacuated()},
+        {"evacuated_domains", evacuations_to_json(context, now)},
         {"reads_platform", sources.reads_platform},
         {"rights", rights},
         {"target", target},
--- a/libraries/platform/document_revision.hpp
+++ b/libraries/platform/document_revision.hpp
@@ -21,6 +21,10 @@
            steps_per_revision;
 }
 
+constexpr std::uint64_t platform_revision_of(std::uint64_t document_revision) {
+    return document_revision / steps_per_revision % (max_platform_revision + 1);
+}
+
 constexpr std::uint64_t epoch_of(std::uint64_t document_revision) {
     return document_revision / steps_per_revision / (max_platform_revision + 1);
 }
--- a/libraries/policy/target_chooser.cpp
+++ b/libraries/policy/target_chooser.cpp
@@ -29,14 +29,20 @@
 } // namespace
 
 void target_chooser::record_sent(std::string const& host, time_point now) {
-    auto [entry, inserted] = this->hosts.try_emplace(host);
-    if (inserted) {
-        entry->second.first_used = now;
+    auto& state = this->hosts[host];
+    if (std::exchange(state.is_new, false)) {
+        state.first_used = now;
+    }
+    ++state.outstanding;
+    if (state.ejections > 0 && now >= state.ejected_until && state.consecutive_failures > 0) {
+        state.probing = true;
     }
-    ++entry->second.outstanding;
-    if (entry->second.ejections > 0 && now >= entry->second.ejected_until &&
-        entry->second.consecutive_failures > 0) {
-        entry->second.probing = true;
+}
+
+void target_chooser::restart_use(std::string const& host) {
+    auto const found = this->hosts.find(host);
+    if (found != this->hosts.end()) {
+        found->second.is_new = true;
     }
 }
 
@@ -125,7 +131,8 @@
     auto const& state = found->second;
     double const in_flight = std::max(reported, static_cast<double>(state.outstanding));
     double const refusals = state.refusals * std::exp(-((now - state.refusals_at) / refusal_time_constant));
-    double const warm_fraction = std::clamp((now - state.first_used) / warm_up_span, 0.0, 1.0);
+    double const warm_fraction =
+        state.is_new ? 0 : std::clamp((now - state.first_used) / warm_up_span, 0.0, 1.0);
     return in_flight / limit + refusal_cost * refusals + cold_penalty * (1 - warm_fraction);
 }
 
--- a/libraries/policy/target_chooser.hpp
+++ b/libraries/policy/target_chooser.hpp
@@ -38,6 +38,9 @@
     std::optional<std::string> choose(std::vector<candidate_host> const& candidates, bool idempotent,
                                       std::uint64_t random, time_point now);
 
+    /// The host's next use counts as its first: its target has had no work for a while.
+    void restart_use(std::string const& host);
+
     bool is_ejected(std::string const& host, time_point now) const;
     std::vector<std::string> ejected_hosts(time_point now) const;
     int outstanding(std::string const& host) const;
@@ -55,6 +58,7 @@
         int ejections{0};
         time_point ejected_until;
         bool probing{false};
+        bool is_new{true}; ///< Not used yet, or not since `restart_use`.
         time_point first_used;
     };
 
--- a/tests/node/host_list_test.cpp
+++ b/tests/node/host_list_test.cpp
@@ -71,3 +71,27 @@
         CHECK_FALSE(merge_host_list({anonymous}, {7, {host("10.0.0.1", "")}}).front().leaving);
     }
 }
+
+TEST_CASE("a list carries its evacuated domains as text and as values, and an older list has none") {
+    host_list const sent{
+        .revision = 7, .hosts = {host("10.0.0.1")}, .evacuated_domains = {{"south", 9}, {"north", 5}}};
+    auto const read = attempt_or(
+        [&]() -> result<host_list> {
+            BOOST_LEAF_AUTO(parsed, parse_host_list(host_list_to_json(sent)));
+            return parse_host_list_bundle(make_host_list_bundle(parsed));
+        },
+        [](problem const&) { return host_list{}; });
+    CHECK(std::ranges::is_permutation(read.evacuated_domains, sent.evacuated_domains));
+    CHECK_FALSE(make_host_list_bundle({.revision = 7, .hosts = sent.hosts}).values.contains("domains"));
+    auto const parse = [](std::string const& text) {
+        return attempt_or(
+            [&]() -> result<int> {
+                BOOST_LEAF_AUTO(list, parse_host_list(text));
+                return static_cast<int>(list.evacuated_domains.size());
+            },
+            [](problem const&) { return -1; });
+    };
+    CHECK(parse(R"({"revision":"1","hosts":[]})") == 0);
+    CHECK(parse(R"({"revision":"1","evacuated_domains":[{"name":"a"},{"name":"a","since":"x"}]})") == 1);
+    CHECK(parse(R"({"revision":"1","evacuated_domains":[{"since":"3"}]})") == -1);
+}
--- a/tests/node/simulated_fleet.cpp
+++ b/tests/node/simulated_fleet.cpp
@@ -129,7 +129,20 @@
 }
 
 void simulated_fleet::publish_hosts(std::vector<listed_host> hosts) {
-    this->list = {++this->revision, std::move(hosts)};
+    this->list.hosts = std::move(hosts);
+    this->offer_hosts();
+}
+
+void simulated_fleet::evacuate(std::vector<std::string> const& domains) {
+    this->list.evacuated_domains.clear();
+    for (auto const& name : domains) {
+        this->list.evacuated_domains.push_back({.name = name});
+    }
+    this->offer_hosts();
+}
+
+void simulated_fleet::offer_hosts() {
+    this->list.revision = ++this->revision;
     for (auto& [host, entry] : this->nodes) {
         if (entry->core != nullptr && !this->is_partitioned(*entry)) {
             this->handle_event(
--- a/tests/node/simulated_fleet.hpp
+++ b/tests/node/simulated_fleet.hpp
@@ -97,6 +97,8 @@
     void set_target_statement(std::string const& host, target_statement statement);
     /// Serves a new host list to every live host that is not partitioned.
     void publish_hosts(std::vector<listed_host> hosts);
+    /// The same with these evacuated failure domains in place of the former ones.
+    void evacuate(std::vector<std::string> const& domains);
     void publish_configuration(item_set const& items);
     std::vector<listed_host> const& listed_hosts() const { return this->list.hosts; }
 
@@ -126,6 +128,7 @@
     duration one_way_delay(node const& from, node const& to) const;
     bool is_partitioned(node const& entry) const;
     void offer_documents(node& entry);
+    void offer_hosts();
 
     fleet_plan plan;
     std::mt19937_64 random;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -14,6 +14,7 @@
 #include <random>
 #include <sstream>
 #include <thread>
+#include <utility>
 
 namespace caraway::soak {
 
@@ -54,10 +55,15 @@
     slow_target,
     publish,
     reload,
+    evacuate,
 };
-constexpr std::array<char const*, 11> fault_names{
+constexpr std::array<char const*, 12> fault_names{
     "kill",         "terminate",     "pause",       "cut_domain", "silence_domain", "stall_domain",
-    "lose_answers", "platform_away", "slow_target", "publish",    "reload"};
+    "lose_answers", "platform_away", "slow_target", "publish",    "reload",         "evacuate"};
+/// From then on no request reaches a target of an evacuated domain, if all nodes hear of it.
+constexpr double evacuation_limit_ms = 2000;
+/// A fault that keeps news from nodes delays an evacuation until this long after its end.
+constexpr double news_delay_ms = 3000;
 
 /// One request with the outcome that its caller observed.
 struct observed_request {
@@ -204,6 +210,11 @@
              << " node " << node << " for " << duration_ms << " ms";
         this->report.faults.push_back(text.str());
         auto const domain = this->system.node(node).host.failure_domain;
+        bool const lets_news_pass = kind == fault_kind::slow_target || kind == fault_kind::publish ||
+                                    kind == fault_kind::reload || kind == fault_kind::evacuate;
+        if (!lets_news_pass) {
+            this->news_blocked_until_ms = std::max(this->news_blocked_until_ms, this->now() + duration_ms);
+        }
         switch (kind) {
         case fault_kind::kill:
             this->begin_disturbance(node);
@@ -244,7 +255,38 @@
             return;
         case fault_kind::reload:
             return this->system.send_signal(node, SIGHUP);
+        case fault_kind::evacuate:
+            return this->evacuate(domain, duration_ms);
+        }
+    }
+
+    /// Ignored while another domain is evacuated.
+    void evacuate(std::string const& domain, double duration_ms) {
+        if (std::exchange(this->is_evacuating, true)) {
+            return;
+        }
+        this->system.evacuate({domain});
+        this->schedule_after(evacuation_limit_ms, [=, this] {
+            auto const before = this->runs_in(domain);
+            auto const since_ms = this->now();
+            this->schedule_after(duration_ms, [=, this] {
+                bool const was_heard = this->news_blocked_until_ms + news_delay_ms < since_ms;
+                if (was_heard && this->runs_in(domain) > before) {
+                    this->report_violation("an evacuated domain gets no requests", domain);
+                }
+                this->system.evacuate({});
+                this->is_evacuating = false;
+            });
+        });
+    }
+
+    std::uint64_t runs_in(std::string const& domain) {
+        std::uint64_t total = 0;
+        for (std::size_t index = 0; index < this->system.size(); ++index) {
+            auto const& node = this->system.node(index);
+            total += node.host.failure_domain == domain ? node.target->run_count() : 0;
         }
+        return total;
     }
 
     /// A later domain fault replaces an earlier one, whose scheduled end then does nothing.
@@ -403,6 +445,8 @@
     std::multimap<double, std::function<void()>> actions; ///< By due time in ms.
     std::map<std::size_t, std::size_t> open_disturbances; ///< Node to its index in `disturbances`.
     std::uint64_t domain_fault_number{0};
+    bool is_evacuating{false};
+    double news_blocked_until_ms{-news_delay_ms};
     std::vector<observed_request> requests;
     std::vector<disturbance> disturbances;
     std::map<std::string, int> violation_counts;
--- a/tests/standins/fleet.cpp
+++ b/tests/standins/fleet.cpp
@@ -3,6 +3,7 @@
 #include "base/digest.hpp"
 #include "standins/node_process.hpp"
 
+#include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
 
@@ -203,7 +204,15 @@
 }
 
 void fleet::publish_hosts() {
-    this->platform_service->publish_hosts(this->host_list());
+    this->platform_service->publish_hosts(this->host_list(), this->evacuated_domains);
+}
+
+void fleet::evacuate(std::vector<std::string> const& domains) {
+    this->evacuated_domains.clear();
+    for (auto const& name : domains) {
+        this->evacuated_domains.push_back({.name = name});
+    }
+    this->publish_hosts();
 }
 
 std::uint64_t fleet::publish(std::string const& toml) {
@@ -254,7 +263,8 @@
     std::size_t begin = 0;
     while (begin <= path.size()) {
         auto const end = std::min(path.find('.', begin), path.size());
-        value = value.toObject().value(QString::fromStdString(path.substr(begin, end - begin)));
+        auto const name = QString::fromStdString(path.substr(begin, end - begin));
+        value = value.isArray() ? value.toArray().at(name.toInt()) : value.toObject().value(name);
         begin = end + 1;
     }
     return value.toVariant().toString().toStdString();
--- a/tests/standins/fleet.hpp
+++ b/tests/standins/fleet.hpp
@@ -74,6 +74,8 @@
     /// TOML is invalid.
     std::uint64_t publish(std::string const& toml);
     void publish_hosts();
+    /// Publishes a host list with these evacuated failure domains in place of the former ones.
+    void evacuate(std::vector<std::string> const& domains);
     /// The bundle that was published under a revision.
     bundle const& published_bundle(std::uint64_t number) const { return this->history.at(number); }
     /// The next publication gets the revision after `last`.
@@ -97,7 +99,8 @@
     client_answer call(std::size_t index, std::string const& method, std::string const& path,
                        header_map const& headers = {}, std::string const& body = "",
                        std::chrono::milliseconds timeout = std::chrono::seconds(10));
-    /// A field of a node's status, by its dotted path, as text; "" when the node does not answer.
+    /// A field of a node's status, by its dotted path (with indexes for arrays), as text; "" when the node
+    /// does not answer.
     std::string status_field(std::size_t index, std::string const& path);
 
     /// Executions started at all targets, by ticket number or else request id.
@@ -119,6 +122,7 @@
     std::string folder;
     std::string prefix; ///< "127.X".
     std::uint64_t configuration_revision{0};
+    std::vector<evacuated_domain> evacuated_domains;
     std::map<std::uint64_t, bundle> history;
     bool seeds{false};
     std::unique_ptr<platform_standin> platform_service;
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -43,7 +43,8 @@
     this->put(std::string(manifest_name), content.manifest_text);
 }
 
-void platform_standin::publish_hosts(std::vector<listed_host> const& hosts) {
+void platform_standin::publish_hosts(std::vector<listed_host> const& hosts,
+                                     std::vector<evacuated_domain> const& evacuated_domains) {
     QJsonArray rows;
     for (auto const& entry : hosts) {
         rows.append(QJsonObject{{"host", QString::fromStdString(entry.host)},
@@ -52,8 +53,15 @@
                                 {"link", QString::fromStdString(entry.link)},
                                 {"state", entry.leaving ? "leaving" : "live"}});
     }
+    QJsonArray domains;
+    for (auto const& domain : evacuated_domains) {
+        domains.append(QJsonObject{{"name", QString::fromStdString(domain.name)},
+                                   {"since", QString::number(domain.since)}});
+    }
     auto const revision = ++this->hosts_revision;
-    this->put("hosts", compact({{"revision", QString::number(revision)}, {"hosts", rows}}));
+    this->put(
+        "hosts",
+        compact({{"revision", QString::number(revision)}, {"hosts", rows}, {"evacuated_domains", domains}}));
 }
 
 void platform_standin::set_fault(platform_fault wanted) {
@@ -111,7 +119,7 @@
         return attempt_or(
             [&]() -> result<http_response> {
                 BOOST_LEAF_AUTO(list, parse_host_list(request.body()));
-                this->publish_hosts(list.hosts);
+                this->publish_hosts(list.hosts, list.evacuated_domains);
                 return make_response(200, "published\n");
             },
             [](problem const& cause) { return make_response(400, to_text(cause) + "\n"); });
--- a/tests/standins/platform_standin.hpp
+++ b/tests/standins/platform_standin.hpp
@@ -20,7 +20,8 @@
 
     /// Publishes all values, the manifest last.
     void publish(bundle const& content);
-    void publish_hosts(std::vector<listed_host> const& hosts);
+    void publish_hosts(std::vector<listed_host> const& hosts,
+                       std::vector<evacuated_domain> const& evacuated_domains = {});
 
     /// `stale` keeps serving the values of this moment; `down` answers every request with 503.
     void set_fault(platform_fault fault);
