membership: Hand pools over when a host leaves the list and runs on

Cause: a host whose target's registration lapsed owned no pools from the list on, while its domain kept it as a member for another 4 s, so nobody owned its pools.

Change: where an overage is tolerated, the host announces that it owns nothing any more. The others drop it together with a list without it. Announcements and membership requests share one sequence, so that late ones of either kind are ignored. An unlisted host does not ask itself for tokens. A refusal's log line names the pools that were asked, with what they answered and when the next token is due.

--- a/libraries/membership/domain_membership.cpp
+++ b/libraries/membership/domain_membership.cpp
@@ -4,6 +4,7 @@
 #include "policy/rendezvous.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace caraway {
 
@@ -46,9 +47,12 @@
 }
 
 void domain_membership::update_list(std::set<std::string> const& listed, time_point now) {
-    this->self_listed = listed.contains(this->host);
+    bool const was_listed = std::exchange(this->self_listed, listed.contains(this->host));
     for (auto const& name : listed) {
         if (name != this->host) {
+            if (!this->other_members.contains(name)) {
+                this->departures.erase(name);
+            }
             // A listed host is a member before it asks: it may already own pools.
             this->add_member(name, true, now);
         }
@@ -60,15 +64,44 @@
         }
     }
     this->remove_lapsed(now);
+    if (was_listed && !this->self_listed) {
+        this->depart(now);
+    }
     this->try_activate(now);
 }
 
+void domain_membership::depart(time_point now) {
+    if (!this->timing.tolerates_takeover || this->has_left) {
+        return;
+    }
+    this->restart_join(now);
+    this->was_member_throughout = false;
+    departure_notice notice{.sequence = this->next_sequence++};
+    for (auto const& [name, entry] : this->other_members) {
+        notice.hosts.push_back(name);
+    }
+    this->own_departure = std::move(notice);
+}
+
+std::optional<departure_notice> domain_membership::take_departure() {
+    return std::exchange(this->own_departure, std::nullopt);
+}
+
 bool domain_membership::has_removed(std::string const& name) const {
     return std::ranges::find(this->removals, name, &removal::host) != this->removals.end();
 }
 
 acknowledgement domain_membership::acknowledge_host(std::string const& name, std::uint64_t incarnation,
-                                                    time_point now) {
+                                                    std::uint64_t sequence, time_point now) {
+    auto const departed = this->departures.find(name);
+    if (departed != this->departures.end()) {
+        bool const is_outdated =
+            departed->second.incarnation == incarnation && sequence < departed->second.sequence;
+        if (is_outdated) {
+            return {};
+        }
+        this->departures.erase(departed);
+    }
     auto const found = this->other_members.find(name);
     bool const is_known = found != this->other_members.end();
     acknowledgement const reply{.was_member = is_known && found->second.incarnation == incarnation,
@@ -76,6 +109,7 @@
                                     is_known && found->second.incarnation == 0 && !this->has_removed(name)};
     this->add_member(name, false, now);
     auto& entry = this->other_members[name];
+    entry.sequence = entry.incarnation == incarnation ? std::max(entry.sequence, sequence) : sequence;
     entry.incarnation = incarnation;
     if (!entry.listed) {
         entry.unlisted_since = now;
@@ -87,6 +121,21 @@
     this->remove_member(name, now);
 }
 
+void domain_membership::record_unlisting(std::string const& name, std::uint64_t incarnation,
+                                         std::uint64_t sequence, time_point now) {
+    auto const found = this->other_members.find(name);
+    if (found == this->other_members.end()) {
+        return;
+    }
+    auto const& entry = found->second;
+    bool const is_outdated =
+        entry.incarnation != 0 && (entry.incarnation != incarnation || sequence < entry.sequence);
+    if (!is_outdated) {
+        this->departures[name] = {incarnation, sequence, now};
+        this->remove_lapsed(now);
+    }
+}
+
 std::vector<acknowledgement_request> domain_membership::make_due_requests(time_point now) {
     this->remove_lapsed(now);
     if (this->active && this->is_only_member() && !this->runs_without_pause(now)) {
@@ -157,7 +206,8 @@
     auto const requested_at = request->second.requested_at;
     this->pending.erase(request);
     for (auto const& other : reported_members) {
-        if (other != this->host) {
+        // Others may not have heard yet of a departure.
+        if (other != this->host && !this->departures.contains(other)) {
             this->add_member(other, false, now);
         }
     }
@@ -222,9 +272,13 @@
 }
 
 void domain_membership::remove_lapsed(time_point now) {
+    std::erase_if(this->departures, [this, now](auto const& entry) {
+        return now - entry.second.at >= this->timing.lapse_span;
+    });
     std::vector<std::string> lapsed;
     for (auto const& [name, entry] : this->other_members) {
-        if (!entry.listed && now - entry.unlisted_since >= this->timing.lapse_span) {
+        bool const is_gone = now - entry.unlisted_since >= this->timing.lapse_span;
+        if (!entry.listed && (is_gone || this->departures.contains(name))) {
             lapsed.push_back(name);
         }
     }
@@ -259,8 +313,7 @@
 }
 
 std::string domain_membership::owner(std::string_view key) const {
-    // A host that has left owns no pools; the others choose without it.
-    std::string best = this->has_left ? "" : this->host;
+    std::string best = this->is_candidate() ? this->host : "";
     for (auto const& [name, entry] : this->other_members) {
         if (best.empty() || rendezvous_prefers(name, best, key)) {
             best = name;
@@ -271,7 +324,7 @@
 
 std::vector<std::string> domain_membership::preferred_owners(std::string_view key, std::size_t count) const {
     auto candidates = this->members();
-    if (this->has_left) {
+    if (!this->is_candidate()) {
         std::erase(candidates, this->host);
     }
     return rendezvous_top(candidates, key, count);
--- a/libraries/membership/domain_membership.hpp
+++ b/libraries/membership/domain_membership.hpp
@@ -5,12 +5,17 @@
 /// that may both own pools, each has the other in its set, and both derive the same owner of every pool by
 /// rendezvous hashing. A host that is missing from the published list is removed after `lapse_span`: the list
 /// may lag, but a host that is not on it has really left.
+///
+/// A host that runs on may leave the list as well, because its target has left. It gives up its pools at once
+/// and, where an overage is tolerated, says so (`take_departure`), so that the others need not wait for
+/// `lapse_span`. Elsewhere a departure takes effect only together with a list without the departed host.
 #pragma once
 
 #include "base/clock.hpp"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -55,6 +60,12 @@
     bool is_first{false};
 };
 
+/// This host has left the list and no longer owns pools.
+struct departure_notice {
+    std::vector<std::string> hosts; ///< To be notified.
+    std::uint64_t sequence{0};      ///< Of the same order as those of the requests.
+};
+
 class domain_membership {
 public:
     domain_membership(std::string own_host, lease_timing own_timing, time_point started);
@@ -63,12 +74,20 @@
     /// listed.
     void update_list(std::set<std::string> const& listed, time_point now);
 
-    /// Another host asks to be acknowledged as a member.
-    acknowledgement acknowledge_host(std::string const& host, std::uint64_t incarnation, time_point now);
+    /// Another host asks with its request `sequence` to be acknowledged as a member.
+    acknowledgement acknowledge_host(std::string const& host, std::uint64_t incarnation,
+                                     std::uint64_t sequence, time_point now);
 
-    /// Another host no longer owns pools and leaves.
+    /// Another host no longer owns pools and ends.
     void record_departure(std::string const& host, time_point now);
 
+    /// Another host no longer owns pools, because the list no longer holds it.
+    void record_unlisting(std::string const& host, std::uint64_t incarnation, std::uint64_t sequence,
+                          time_point now);
+
+    /// Whom to notify that the newest list does not hold this host any more; once for each such change.
+    std::optional<departure_notice> take_departure();
+
     /// The requests to send now. Must be called regularly: a host without other members treats a gap of
     /// `acknowledgement_span` between two calls as a suspended process and gives up its pools.
     std::vector<acknowledgement_request> make_due_requests(time_point now);
@@ -104,11 +123,18 @@
 private:
     struct member {
         std::uint64_t incarnation{0};
+        std::uint64_t sequence{0}; ///< Of the newest request that was acknowledged.
         bool listed{false};
         time_point unlisted_since;
         bool acknowledged{false}; ///< Since this host last started to join.
         time_point requested_at;
     };
+    /// What a member that has left the list has announced.
+    struct departure {
+        std::uint64_t incarnation{0};
+        std::uint64_t sequence{0};
+        time_point at;
+    };
     struct removal {
         std::string host;
         time_point at;
@@ -121,12 +147,17 @@
     void add_member(std::string const& host, bool listed, time_point now);
     void remove_member(std::string const& host, time_point now);
     void remove_lapsed(time_point now);
+    /// Gives up all pools after the newest list has not held this host.
+    void depart(time_point now);
     void restart_join(time_point now);
     /// Discards all acknowledgements, so that they are requested again at once.
     void reset_acknowledgements(time_point now);
     void try_activate(time_point now);
     bool has_removed(std::string const& host) const;
     bool is_only_member() const { return this->other_members.empty(); }
+    /// Whether this host may own pools once the others have acknowledged it. A host that has left owns no
+    /// pools; the others choose without it.
+    bool is_candidate() const { return !this->has_left && (this->self_listed || this->is_only_member()); }
     bool runs_without_pause(time_point now) const {
         return now - this->last_request_round < this->timing.acknowledgement_span;
     }
@@ -135,6 +166,8 @@
     lease_timing timing;
     time_point started;
     std::map<std::string, member> other_members;
+    std::map<std::string, departure> departures;
+    std::optional<departure_notice> own_departure;
     std::vector<removal> removals;
     std::map<std::uint64_t, pending_request> pending;
     std::uint64_t next_sequence{1};
--- a/libraries/membership/lease_message.hpp
+++ b/libraries/membership/lease_message.hpp
@@ -53,7 +53,9 @@
     std::uint64_t sequence{0};
     std::uint64_t incarnation{0};
     std::uint64_t members_digest{0};
-    bool is_leaving{false}; ///< The sender no longer owns pools and is to be removed.
+    /// The sender no longer owns pools and is to be removed: at once if `sequence` is 0, else as soon as the
+    /// list does not hold it.
+    bool is_leaving{false};
 
     template <typename Visitor>
     void visit(Visitor&& visitor) {
--- a/libraries/membership/rate_lease_manager.cpp
+++ b/libraries/membership/rate_lease_manager.cpp
@@ -1,7 +1,6 @@
 #include "membership/rate_lease_manager.hpp"
 
 #include "base/digest.hpp"
-#include "policy/rendezvous.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -33,11 +32,6 @@
     return fast_hash("first number", incarnation) | 1U;
 }
 
-/// The rendezvous key of a pool.
-std::string pool_key(std::string const& organisation, std::uint8_t shard) {
-    return organisation + '#' + std::to_string(shard);
-}
-
 } // namespace
 
 bool rate_limit::has_pools_in(std::string const& domain) const {
@@ -78,6 +72,17 @@
     this->hosts = std::move(listed);
     this->remote_pools.clear();
     this->membership.update_list(this->hosts[this->domain], now);
+    auto const departure = this->membership.take_departure();
+    if (!departure) {
+        return;
+    }
+    for (auto const& name : departure->hosts) {
+        this->send(name,
+                   membership_request_message{
+                       .sequence = departure->sequence, .incarnation = this->incarnation, .is_leaving = true},
+                   now);
+    }
+    this->pools.clear();
 }
 
 bool rate_lease_manager::try_admit(std::string const& organisation, std::size_t waiting, time_point now) {
@@ -137,6 +142,7 @@
     state.received_grant = false;
     state.has_lost_pool = false;
     state.asked_reserve = false;
+    state.answers.clear();
     state.shortest_wait = {max_retry_hint_ms};
     this->request_from_next_pool(organisation, state, wanted, now);
 }
@@ -212,6 +218,7 @@
     if (!state.received_grant && is_short) {
         state.exhausted_until = now + std::clamp(state.shortest_wait, min_exhausted_span, max_exhausted_span);
         // Without any answer nothing is known about the pools' refill.
+        state.last_shortage = std::exchange(state.answers, {});
         bool const is_known = state.shortest_wait.milliseconds < max_retry_hint_ms;
         state.next_token_at = is_known ? now + state.shortest_wait : state.exhausted_until;
     }
@@ -226,69 +233,6 @@
     this->continue_round(organisation, state, now);
 }
 
-std::vector<rate_lease_manager::pool_address> rate_lease_manager::list_pools(std::string const& organisation,
-                                                                             std::uint64_t round) {
-    auto const [entry, inserted] = this->remote_pools.try_emplace(organisation);
-    if (inserted) {
-        entry->second = this->find_remote_pools(organisation);
-    }
-    auto order = entry->second;
-    if (!this->limits.at(organisation).has_pools_in(this->domain)) {
-        return order;
-    }
-    // The pools are asked from the end: those of the own domain first, starting with another shard in each
-    // round.
-    auto const count = this->shard_count(this->limits.at(organisation));
-    for (std::uint8_t index = 0; index < count; ++index) {
-        auto const shard = static_cast<std::uint8_t>((round + index) % count);
-        order.push_back({this->membership.owner(pool_key(organisation, shard)), this->domain, shard});
-    }
-    return order;
-}
-
-std::optional<rate_lease_manager::pool_address>
-rate_lease_manager::runner_up(std::string const& organisation, pool_address const& failed) const {
-    if (failed.is_runner_up) {
-        return std::nullopt;
-    }
-    auto const key = pool_key(organisation, failed.shard);
-    std::vector<std::string> preferred;
-    if (failed.domain == this->domain) {
-        preferred = this->membership.preferred_owners(key, 2);
-    } else if (auto const listed = this->hosts.find(failed.domain); listed != this->hosts.end()) {
-        preferred = rendezvous_top(std::vector(listed->second.begin(), listed->second.end()), key, 2);
-    }
-    for (auto& name : preferred) {
-        if (name != failed.host) {
-            return pool_address{std::move(name), failed.domain, failed.shard, true};
-        }
-    }
-    return std::nullopt;
-}
-
-std::vector<rate_lease_manager::pool_address>
-rate_lease_manager::find_remote_pools(std::string const& organisation) const {
-    std::vector<pool_address> order;
-    auto const& limit = this->limits.at(organisation);
-    for (auto const& [name, listed] : this->hosts) {
-        if (name == this->domain || !limit.has_pools_in(name)) {
-            continue;
-        }
-        std::vector<std::string> const candidates(listed.begin(), listed.end());
-        for (std::uint8_t shard = 0; shard < this->shard_count(limit); ++shard) {
-            for (auto const& name_of_host : rendezvous_top(candidates, pool_key(organisation, shard), 1)) {
-                order.push_back({name_of_host, name, shard});
-            }
-        }
-    }
-    // A different order on every node spreads the requests over the domains.
-    std::ranges::sort(order, [this](pool_address const& left, pool_address const& right) {
-        return rendezvous_prefers(pool_key(left.host, left.shard), pool_key(right.host, right.shard),
-                                  this->host);
-    });
-    return order;
-}
-
 void rate_lease_manager::send(std::string const& to, lease_message content, time_point now) {
     if (to == this->host) {
         return this->receive(to, content, now);
@@ -296,6 +240,18 @@
     this->outgoing_messages.push_back({to, std::move(content)});
 }
 
+std::span<pool_answer const> rate_lease_manager::last_shortage(std::string const& organisation) const {
+    auto const found = this->lessees.find(organisation);
+    return found == this->lessees.end() ? std::span<pool_answer const>{}
+                                        : std::span<pool_answer const>(found->second.last_shortage);
+}
+
+void rate_lease_manager::note_shortage(lessee_state& state, pool_shortage reason, duration next_token,
+                                       time_point now) {
+    auto const& asked = state.asked_pool;
+    state.answers.push_back({asked.host, asked.domain, asked.shard, reason, next_token, now});
+}
+
 void rate_lease_manager::receive(std::string const& from, lease_message const& content, time_point now) {
     if (auto const* request = std::get_if<token_request_message>(&content)) {
         return this->handle_token_request(from, *request, now);
@@ -377,6 +333,7 @@
     }
     state.has_lost_pool = state.has_lost_pool || grant.is_new;
     if (!grant.is_owner) {
+        note_shortage(state, pool_shortage::unowned, {0}, now);
         return this->fail_over(grant.organisation, state, now);
     }
     auto const expires =
@@ -391,6 +348,9 @@
     if (state.leased.available(now) >= one_token) {
         state.received_grant = true;
         this->refilled_organisations.push_back(grant.organisation);
+    } else {
+        auto const reason = grant.is_new ? pool_shortage::new_pool : pool_shortage::empty;
+        note_shortage(state, reason, {std::max(0.0, grant.retry_ms)}, now);
     }
     state.shortest_wait = std::min(state.shortest_wait, duration{std::max(0.0, grant.retry_ms)});
     this->continue_round(grant.organisation, state, now);
@@ -409,10 +369,12 @@
 void rate_lease_manager::handle_membership_request(std::string const& from,
                                                    membership_request_message const& ask, time_point now) {
     if (ask.is_leaving) {
-        return this->membership.record_departure(from, now);
+        return ask.sequence == 0
+                   ? this->membership.record_departure(from, now)
+                   : this->membership.record_unlisting(from, ask.incarnation, ask.sequence, now);
     }
     auto const theirs = ask.members_digest;
-    auto const reply = this->membership.acknowledge_host(from, ask.incarnation, now);
+    auto const reply = this->membership.acknowledge_host(from, ask.incarnation, ask.sequence, now);
     membership_reply_message answer{
         .sequence = ask.sequence, .was_member = reply.was_member, .is_first = reply.is_first};
     if (theirs != this->membership.digest()) {
@@ -438,6 +400,7 @@
             this->unresponsive[state.asked_pool.host] = now + unresponsive_span;
             auto const found = waiting.find(organisation);
             state.waiting = found == waiting.end() ? 0 : found->second;
+            note_shortage(state, pool_shortage::silent, {0}, now);
             this->fail_over(organisation, state, now);
         }
         auto const found = waiting.find(organisation);
--- a/libraries/membership/rate_lease_manager.hpp
+++ b/libraries/membership/rate_lease_manager.hpp
@@ -12,7 +12,9 @@
 
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -42,6 +44,26 @@
 /// The shard number of a failure domain's reserve pool.
 inline constexpr std::uint8_t reserve_shard = 255;
 
+/// Why a pool did not grant a whole token.
+enum class pool_shortage : std::uint8_t {
+    silent,   ///< No answer in time.
+    unowned,  ///< The host that was asked does not own the pool.
+    new_pool, ///< Taken over, empty, within the last seconds.
+    empty,
+};
+
+std::string_view name_of(pool_shortage reason);
+
+/// What came of asking a pool that granted no whole token.
+struct pool_answer {
+    std::string host;
+    std::string domain;
+    std::uint8_t shard{0};
+    pool_shortage reason{pool_shortage::silent};
+    duration next_token{0}; ///< From the answer until the pool has refilled a whole token; 0 if unknown.
+    time_point answered;
+};
+
 class rate_lease_manager {
 public:
     rate_lease_manager(std::string own_host, std::string own_domain, std::uint64_t own_incarnation,
@@ -64,6 +86,9 @@
     /// While exhausted, the time until a pool has refilled one token, as far as the pools have reported it.
     duration time_until_token(std::string const& organisation, time_point now) const;
 
+    /// The pools of the newest round of requests that found no token, in the order in which they were asked.
+    std::span<pool_answer const> last_shortage(std::string const& organisation) const;
+
     void receive(std::string const& from, lease_message const& content, time_point now);
 
     /// Renews the membership, reports usage and acquires leases. `waiting` is the number of queued requests
@@ -109,16 +134,20 @@
         time_point requested_at;
         std::vector<pool_address> untried_pools; ///< To be asked in this round, the next one last.
         std::uint64_t round_count{0};
-        std::size_t waiting{0};     ///< Queued requests when the round began.
-        bool received_grant{false}; ///< In this round.
-        bool has_lost_pool{false};  ///< In this round a pool had no reachable owner, or a new one.
-        bool asked_reserve{false};  ///< In this round.
+        std::size_t waiting{0};           ///< Queued requests when the round began.
+        bool received_grant{false};       ///< In this round.
+        bool has_lost_pool{false};        ///< In this round a pool had no reachable owner, or a new one.
+        bool asked_reserve{false};        ///< In this round.
+        std::vector<pool_answer> answers; ///< Of this round's pools without a whole token.
+        std::vector<pool_answer> last_shortage; ///< The answers of the newest round without a token.
         duration shortest_wait{0};  ///< Until a pool that was asked in this round has refilled one token.
         time_point exhausted_until; ///< The pools are not asked before.
         time_point next_token_at;
         time_point next_prefetch;
     };
 
+    /// The rendezvous key of a pool.
+    static std::string pool_key(std::string const& organisation, std::uint8_t shard);
     void acquire(std::string const& organisation, lessee_state& state, std::size_t waiting, time_point now);
     void request_from_next_pool(std::string const& organisation, lessee_state& state, token_amount wanted,
                                 time_point now);
@@ -126,6 +155,7 @@
     void continue_round(std::string const& organisation, lessee_state& state, time_point now);
     /// Asks the runner-up of the pool that was asked last, which had no reachable owner.
     void fail_over(std::string const& organisation, lessee_state& state, time_point now);
+    static void note_shortage(lessee_state& state, pool_shortage reason, duration next_token, time_point now);
     std::vector<pool_address> list_pools(std::string const& organisation, std::uint64_t round);
     std::vector<pool_address> find_remote_pools(std::string const& organisation) const;
     std::optional<pool_address> runner_up(std::string const& organisation, pool_address const& failed) const;
--- a/libraries/node/request_router.cpp
+++ b/libraries/node/request_router.cpp
@@ -681,9 +681,27 @@
     return names;
 }
 
+std::string request_router::describe_rate_pools(std::string const& organisation, time_point now) const {
+    std::string text;
+    for (auto const& answer : this->context.rate_leases.last_shortage(organisation)) {
+        auto const age = std::llround((now - answer.answered).milliseconds);
+        auto const next = std::llround((answer.answered + answer.next_token - now).milliseconds);
+        text += (text.empty() ? "" : "; ") + answer.domain + "#" + std::to_string(answer.shard) + " at " +
+                answer.host + " " + std::string(name_of(answer.reason)) + " " + std::to_string(age) +
+                " ms ago";
+        if (answer.next_token > duration{0}) {
+            text += ", next token in " + std::to_string(next) + " ms";
+        }
+    }
+    return text;
+}
+
 void request_router::log_unanswered(pending_call const& call, answer_message const& answer, time_point now) {
     auto const limit = this->context.targets.rate_limit(this->selector.target_of(call.attempt_host));
     auto const rounded = [](double milliseconds) { return std::to_string(std::llround(milliseconds)); };
+    auto const rate_pools = answer.code == result_code::rate_exceeded
+                                ? this->describe_rate_pools(call.request.organisation, now)
+                                : "";
     this->context.pending_effects.log(
         log_level::info, "request_ended",
         {{"request_id", call.request.request_id},
@@ -698,6 +716,7 @@
          {"retry_after_ms", rounded(answer.retry_after_ms)},
          {"target_limit", limit ? rounded(*limit) : ""},
          {"evacuated", this->evacuated_domains()},
+         {"rate_pools", rate_pools},
          {"attempts_left", std::to_string(call.allowance.remaining())},
          {"configuration", std::to_string(this->context.configuration->revision())}});
 }
--- a/libraries/node/request_router.hpp
+++ b/libraries/node/request_router.hpp
@@ -127,6 +127,8 @@
     /// The names of the evacuated failure domains, separated by commas.
     std::string evacuated_domains() const;
     /// Logs the end of a request that the target did not answer, with the inputs of the decision.
+    /// The pools that had no token for the organisation when they were asked last, for the log.
+    std::string describe_rate_pools(std::string const& organisation, time_point now) const;
     void log_unanswered(pending_call const& call, answer_message const& answer, time_point now);
     void finish_call(pending_call& call, answer_message&& answer, time_point now);
     listener_answer make_reply(pending_call const& call, answer_message&& answer, time_point now);
--- a/tests/membership/rate_lease_manager_test.cpp
+++ b/tests/membership/rate_lease_manager_test.cpp
@@ -243,3 +243,32 @@
     CHECK(admitted >= 0.9 * reserve * 30);
     CHECK(fleet.window_excess() <= rounding);
 }
+
+TEST_CASE("a third of the hosts loses its listed target: an organisation with a surge is refused nothing") {
+    for (double const rate : {22.0, 81.0, 186.0}) {
+        rate_simulation fleet(3, 7, {rate, rate}, {}, 43, tolerated);
+        fleet.run(6000, usual_load * rate);
+        for (std::uint64_t const host : {0, 1, 7, 8, 14, 15, 16, 17}) {
+            fleet.apply(simulation_action::unlist_running, host);
+            fleet.run(150, usual_load * rate);
+        }
+        fleet.run(3000, 0.85 * rate);
+        fleet.apply(simulation_action::relist, 0);
+        fleet.run(3000, usual_load * rate);
+        check_serves_like_one_bucket(fleet);
+        CHECK(fleet.window_excess() <= rounding);
+    }
+}
+
+TEST_CASE("a refusal names the pools that were asked, and when they have a token again") {
+    rate_lease_manager manager("h", "d", 1, {.tolerates_takeover = true}, time_point{0});
+    manager.update_hosts({{"d", {"h"}}}, time_point{0});
+    manager.configure({{"org", {.rate = 1, .burst = 1, .pool_domains = {"d"}}}}, time_point{0});
+    manager.run_periodic_tasks(time_point{0}, {});
+    CHECK_FALSE(manager.try_admit("org", 0, time_point{100}));
+    auto const pools = manager.last_shortage("org");
+    REQUIRE(pools.size() == 1);
+    CHECK(pools[0].host == "h");
+    CHECK(pools[0].reason == pool_shortage::new_pool);
+    CHECK(pools[0].next_token.milliseconds == doctest::Approx(900));
+}
--- a/tests/membership/rate_simulation.cpp
+++ b/tests/membership/rate_simulation.cpp
@@ -43,6 +43,7 @@
     host.local = {};
     host.running = true;
     host.paused = false;
+    host.has_left = false;
     host.inbox.clear();
     host.waiting.clear();
     host.list_revision = 0;
@@ -98,7 +99,7 @@
         ++this->message_count;
         auto const target = std::ranges::find(this->hosts, message.to, &simulated_host::name);
         bool const is_undeliverable =
-            target == this->hosts.end() ||
+            target == this->hosts.end() || host.isolated || target->isolated ||
             (!this->partitioned_domain.empty() &&
              (target->domain == this->partitioned_domain) != (host.domain == this->partitioned_domain));
         if (is_undeliverable || this->uniform() < this->faults.loss_probability) {
@@ -268,6 +269,7 @@
     case simulation_action::leave:
         if (this->listed[host.domain].size() > 1 && host.running && !host.paused) {
             host.manager->leave(this->now);
+            host.has_left = true;
             this->send(host);
             this->listed[host.domain].erase(host.name);
             this->publish();
@@ -285,7 +287,26 @@
         return;
     case simulation_action::heal:
         this->partitioned_domain.clear();
+        for (auto& each : this->hosts) {
+            each.isolated = false;
+        }
+        return;
+    case simulation_action::isolate:
+        host.isolated = true;
+        return;
+    case simulation_action::unlist_running:
+        if (this->listed[host.domain].size() > 1 && host.running) {
+            this->listed[host.domain].erase(host.name);
+            this->publish();
+        }
         return;
+    case simulation_action::relist:
+        for (auto const& each : this->hosts) {
+            if (each.running && !each.has_left) {
+                this->listed[each.domain].insert(each.name);
+            }
+        }
+        return this->publish();
     }
 }
 
--- a/tests/membership/rate_simulation.hpp
+++ b/tests/membership/rate_simulation.hpp
@@ -39,9 +39,12 @@
     unlist_paused,
     spike_and_pause, ///< A host leases many tokens and is paused before it can consume them.
     restart_all,
+    unlist_running, ///< The target beside a host leaves; the host runs on.
+    relist,         ///< All running hosts that have not left.
+    isolate,        ///< A host loses the messages from and to all others.
 };
 
-inline constexpr int simulation_action_count = 11;
+inline constexpr int simulation_action_count = 14;
 
 class rate_simulation {
 public:
@@ -82,6 +85,8 @@
         std::uint64_t incarnation{0};
         bool running{false};
         bool paused{false};
+        bool isolated{false};
+        bool has_left{false};
         std::uint64_t list_revision{0};
         std::vector<std::pair<std::string, lease_message>>
             inbox;                  ///< Received by the socket, but not yet by a paused process.
