node: Offer silent hosts when the answering ones are all in an evacuated domain

The search offers hosts whose links answer alone, and the hosts of evacuated domains were left out after that: with the rest of a service silent for a moment and one domain evacuated, nobody was offered.

--- a/libraries/node/host_selector.cpp
+++ b/libraries/node/host_selector.cpp
@@ -8,19 +8,23 @@
 
 std::vector<candidate_host> host_selector::candidates_for(selection_request const& request,
                                                           time_point now) const {
-    auto candidates = this->context.peers.candidates(request.service, now);
-    bool const own = request.service == this->context.options.service &&
-                     this->context.phase == node_phase::serving && !this->local_executor.target_is_leaving();
+    auto const is_evacuated = [this, &request](std::string const& domain) {
+        return this->context.evacuations.contains(domain) ||
+               std::ranges::find(request.refusing_domains, domain) != request.refusing_domains.end();
+    };
+    auto candidates =
+        this->context.peers.candidates(request.service, now, [&is_evacuated](peer_info const& peer) {
+            return is_evacuated(peer.entry.failure_domain);
+        });
+    bool const own =
+        request.service == this->context.options.service && this->context.phase == node_phase::serving &&
+        !this->local_executor.target_is_leaving() && !is_evacuated(this->context.options.failure_domain);
     if (own) {
         auto const report = this->context.make_own_report();
         candidates.push_back({this->context.options.host, true, report.in_flight, report.limit, {0}});
     }
-    std::erase_if(candidates, [this, &request](candidate_host const& candidate) {
-        auto const& domain = this->domain_of(candidate.host);
-        bool const is_evacuated =
-            this->context.evacuations.contains(domain) ||
-            std::ranges::find(request.refusing_domains, domain) != request.refusing_domains.end();
-        return is_evacuated || this->context.targets.is_leaving(this->target_of(candidate.host));
+    std::erase_if(candidates, [this](candidate_host const& candidate) {
+        return this->context.targets.is_leaving(this->target_of(candidate.host));
     });
     auto const is_unlimited = [this](candidate_host const& candidate) {
         return !this->context.targets.rate_limit(this->target_of(candidate.host));
--- a/libraries/node/peer_table.cpp
+++ b/libraries/node/peer_table.cpp
@@ -361,7 +361,8 @@
     });
 }
 
-std::vector<candidate_host> peer_table::candidates(std::string const& service, time_point now) {
+std::vector<candidate_host> peer_table::candidates(std::string const& service, time_point now,
+                                                   std::function<bool(peer_info const&)> const& skips) {
     std::vector<candidate_host> found;
     std::vector<candidate_host> silent;
     for (auto& [name, peer] : this->peers) {
@@ -372,6 +373,9 @@
             continue;
         }
         peer.link_requested_until = now + link_request_lifetime;
+        if (skips && skips(info)) {
+            continue;
+        }
         if (info.has_report && info.report.serving && this->best_connection(peer) != 0) {
             auto& group = is_silent(peer, now) ? silent : found;
             group.push_back({name, info.entry.failure_domain == this->domain, info.report.in_flight,
--- a/libraries/node/peer_table.hpp
+++ b/libraries/node/peer_table.hpp
@@ -11,6 +11,7 @@
 #include "policy/target_state_table.hpp"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -68,7 +69,9 @@
     bool is_connected(std::string const& host) const;
     peer_info const* find(std::string const& host) const;
     /// The connected hosts that serve the service; requests links to all hosts of the service.
-    std::vector<candidate_host> candidates(std::string const& service, time_point now);
+    /// `skips`: hosts that it holds for are left out; a silent host is offered when no other one is.
+    std::vector<candidate_host> candidates(std::string const& service, time_point now,
+                                           std::function<bool(peer_info const&)> const& skips = {});
     std::vector<std::string> connected_hosts() const;
     std::vector<std::string> listed_hosts() const;
     std::vector<std::string> hosts_in(std::string const& failure_domain) const;
--- a/tests/node/peer_table_test.cpp
+++ b/tests/node/peer_table_test.cpp
@@ -38,9 +38,10 @@
     /// Sends a message to the host, which it does not answer.
     void send(std::string const& host) { this->table.send(host, cancel_message{}, this->now); }
 
-    std::vector<std::string> offered() {
+    std::vector<std::string> offered(std::string const& skipped_domain = "") {
         std::vector<std::string> names;
-        for (auto const& candidate : this->table.candidates("leaf", this->now)) {
+        auto const skips = [&](peer_info const& peer) { return peer.entry.failure_domain == skipped_domain; };
+        for (auto const& candidate : this->table.candidates("leaf", this->now, skips)) {
             names.push_back(candidate.host);
         }
         std::ranges::sort(names);
@@ -106,3 +107,11 @@
     peers.run_for({3000});
     CHECK(peers.offered() == names{"far", "near"});
 }
+
+TEST_CASE("a silent host is still offered while the only others are in an evacuated domain") {
+    linked_peers peers;
+    peers.cut("far");
+    peers.send("far");
+    peers.run_for({450});
+    CHECK(peers.offered("a") == names{"far"});
+}
