carawayctl, config: Check a configuration before it is published

'check' told the first mistake only. Mistakes are those of the nodes' own checks and a route's match is tried with the nodes' own search. What is in force comes from /configuration of a node's operators' address, which is new. A file is read up to its size limit only, so that an endless one ends.

--- a/libraries/config/bundle.cpp
+++ b/libraries/config/bundle.cpp
@@ -152,7 +152,7 @@
     return parsed;
 }
 
-result<configuration_pointer> compile_bundle(bundle const& published) {
+result<item_set> bundle_items(bundle const& published) {
     BOOST_LEAF_AUTO(parsed, parse_manifest(published.manifest_text));
     item_set items;
     for (auto const& [name, digest] : parsed.digests) {
@@ -168,6 +168,12 @@
         BOOST_LEAF_AUTO(object, parse_object(value->second, name));
         BOOST_LEAF_CHECK(parse_items(object, name, items));
     }
+    return items;
+}
+
+result<configuration_pointer> compile_bundle(bundle const& published) {
+    BOOST_LEAF_AUTO(parsed, parse_manifest(published.manifest_text));
+    BOOST_LEAF_AUTO(items, bundle_items(published));
     return configuration::create(items, parsed.revision);
 }
 
--- a/libraries/config/bundle.hpp
+++ b/libraries/config/bundle.hpp
@@ -33,6 +33,9 @@
 /// The digest that a manifest holds for a value: the first 32 digits of its SHA-256.
 std::string value_digest(std::string const& text);
 
+/// The items of a whole bundle, each checked against the schema; fails when a value is missing or damaged.
+result<item_set> bundle_items(bundle const& published);
+
 /// Parses and checks a whole bundle; fails when any value is missing, damaged or invalid.
 result<configuration_pointer> compile_bundle(bundle const& published);
 
--- /dev/null
+++ b/libraries/config/configuration_review.hpp
@@ -0,0 +1,64 @@
+/// Reviews a configuration before it is published: what the nodes would refuse, entries that can never match,
+/// and limits that contradict each other.
+///
+/// What a node refuses is found by the node's own checks (item_set.hpp, configuration.hpp), and whether a
+/// route matches by its own search; this adds only what a node accepts and an operator is unlikely to mean.
+#pragma once
+
+#include "config/item_set.hpp"
+
+#include <filesystem>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace caraway {
+
+/// `error`: a node refuses the configuration. `warning`: part of it has no effect or contradicts another
+/// part. `note`: unusual, but may be meant.
+enum class finding_severity : std::uint8_t { error, warning, note };
+
+std::string_view name_of(finding_severity value);
+
+struct finding {
+    finding_severity severity{finding_severity::note};
+    std::string key; ///< "SECTION.NAME.FIELD" as far as known; empty for a whole file.
+    std::string message;
+    std::string file;
+    int line{0}; ///< From 1; 0 when unknown.
+};
+
+struct configuration_review {
+    std::vector<finding> findings; ///< Errors first, each severity by file and line.
+    item_set items;                ///< What could be read.
+    bool is_valid{false};          ///< Whether a node would accept the configuration.
+};
+
+/// Reads the files, merged in this order, of which each may be a folder. A file that can't be read or is
+/// wrong is reported and left out; the others are read all the same.
+configuration_review review_files(std::vector<std::filesystem::path> const& files);
+
+/// Reviews items that have been read without a mistake.
+configuration_review review_items(item_set items);
+
+/// What an operator changes by publishing `wanted` in place of `current`.
+struct configuration_difference {
+    enum class kind : std::uint8_t { added, removed, changed };
+
+    kind change{kind::changed};
+    std::string key;      ///< "SECTION.NAME", with ".FIELD" when changed.
+    std::string before;   ///< Empty when added.
+    std::string after;    ///< Empty when removed.
+    std::string affected; ///< Whom it touches, in words.
+    std::string file;     ///< Of the new value; empty when removed.
+    int line{0};
+};
+
+std::string_view name_of(configuration_difference::kind value);
+
+std::vector<configuration_difference> compare_items(item_set const& current, item_set const& wanted);
+
+/// A value as it is written in a file.
+std::string to_display_text(located_value const& value);
+
+} // namespace caraway
--- a/libraries/config/item_set.cpp
+++ b/libraries/config/item_set.cpp
@@ -174,19 +174,21 @@
 result<void> read_toml_file(std::filesystem::path const& path, file_layout shape,
                             std::span<field const> schema, item_set& items) {
     std::ifstream stream(path, std::ios::binary);
-    std::ostringstream content;
-    content << stream.rdbuf();
-    if (!stream) {
+    // No more than this is read, whatever the size of the file.
+    std::string content(max_value_bytes + 1, '\0');
+    stream.read(content.data(), static_cast<std::streamsize>(content.size()));
+    if (!stream.is_open() || stream.bad() || (stream.fail() && !stream.eof())) {
         return fail({result_code::configuration_unreadable, "The file can't be read.", path.string()});
     }
-    if (content.str().size() > max_value_bytes) {
+    content.resize(static_cast<std::size_t>(stream.gcount()));
+    if (content.size() > max_value_bytes) {
         return fail({result_code::configuration_too_large,
                      "The file is over " + std::to_string(max_value_bytes) + " bytes.", path.string()});
     }
-    return read_toml_text(content.str(), path.string(), shape, schema, items);
+    return read_toml_text(content, path.string(), shape, schema, items);
 }
 
-result<item_set> read_configuration_folder(std::filesystem::path const& folder) {
+result<std::vector<std::filesystem::path>> list_configuration_folder(std::filesystem::path const& folder) {
     std::error_code error;
     std::vector<std::filesystem::path> files;
     for (auto const& entry : std::filesystem::directory_iterator(folder, error)) {
@@ -202,6 +204,11 @@
             {result_code::configuration_unreadable, "The folder has no .toml file.", folder.string()});
     }
     std::ranges::sort(files);
+    return files;
+}
+
+result<item_set> read_configuration_folder(std::filesystem::path const& folder) {
+    BOOST_LEAF_AUTO(files, list_configuration_folder(folder));
     item_set items;
     for (auto const& file : files) {
         BOOST_LEAF_CHECK(read_toml_file(file, file_layout::named_items, configuration_schema(), items));
--- a/libraries/config/item_set.hpp
+++ b/libraries/config/item_set.hpp
@@ -44,6 +44,9 @@
 result<void> read_toml_text(std::string const& text, std::string const& file, file_layout shape,
                             std::span<field const> schema, item_set& items);
 
+/// The "*.toml" files of the operators' folder in the order of their names; fails when there is none.
+result<std::vector<std::filesystem::path>> list_configuration_folder(std::filesystem::path const& folder);
+
 /// Reads every "*.toml" of the operators' folder in the order of the file names.
 result<item_set> read_configuration_folder(std::filesystem::path const& folder);
 
--- a/libraries/node/document_replicator.cpp
+++ b/libraries/node/document_replicator.cpp
@@ -73,12 +73,12 @@
     }
     values_message answer{.document = fetch.document, .revision = document.revision};
     if (fetch.names.empty()) {
-        answer.manifest = document.content.manifest_text;
+        answer.manifest = document.content->manifest_text;
     }
     std::size_t total = 0;
     for (auto const& name : fetch.names) {
-        auto const value = document.content.values.find(name);
-        if (value == document.content.values.end() || total >= answer_bytes_soft_limit) {
+        auto const value = document.content->values.find(name);
+        if (value == document.content->values.end() || total >= answer_bytes_soft_limit) {
             continue;
         }
         total += value->second.size();
@@ -97,8 +97,8 @@
             fetch.content = {.manifest_text = values.manifest};
             fetch.missing_names.clear();
             for (auto const& [name, digest] : parsed.digests) {
-                auto const known_value = document.content.values.find(name);
-                if (known_value != document.content.values.end() &&
+                auto const known_value = document.content->values.find(name);
+                if (known_value != document.content->values.end() &&
                     value_digest(known_value->second) == digest) {
                     fetch.content.values[name] = known_value->second;
                 } else {
@@ -174,7 +174,7 @@
         return;
     }
     document.revision = revision;
-    document.content = std::move(content);
+    document.content = std::make_shared<bundle const>(std::move(content));
     this->has_change = true;
 }
 
@@ -217,7 +217,7 @@
 }
 
 std::map<std::string, std::string> const& document_replicator::values(document_kind kind) const {
-    return this->state(kind).content.values;
+    return this->state(kind).content->values;
 }
 
 std::vector<replication_message> document_replicator::take_outgoing_messages() {
--- a/libraries/node/document_replicator.hpp
+++ b/libraries/node/document_replicator.hpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -48,6 +49,8 @@
     std::uint64_t revision(document_kind kind) const;
     /// The values in force, for a reader that fetches only what has changed.
     std::map<std::string, std::string> const& values(document_kind kind) const;
+    /// The document in force; empty before there is one.
+    std::shared_ptr<bundle const> content(document_kind kind) const { return this->state(kind).content; }
     std::vector<replication_message> take_outgoing_messages();
     /// Whether a revision came into force since the last call, so that peers should be notified at once.
     bool consume_change_flag();
@@ -62,7 +65,7 @@
     };
     struct document_state {
         std::uint64_t revision{0};
-        bundle content;
+        std::shared_ptr<bundle const> content{std::make_shared<bundle const>()};
         std::optional<bundle> checking;
         std::uint64_t checking_revision{0};
         time_point checking_since;
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -468,6 +468,7 @@
     snapshot->ready = snapshot->documents_ready && this->context.phase == node_phase::serving;
     snapshot->reads_platform = this->reads_platform();
     snapshot->configuration_revision = this->documents.revision(document_kind::configuration);
+    snapshot->configuration = this->documents.content(document_kind::configuration);
     if (!with_texts) {
         return snapshot;
     }
--- a/libraries/node/node_core.hpp
+++ b/libraries/node/node_core.hpp
@@ -23,6 +23,7 @@
     std::string metrics_text; ///< Prometheus text format.
     std::string status_json;
     std::uint64_t configuration_revision{0};
+    std::shared_ptr<bundle const> configuration; ///< As published; keys are in it as hashes only.
     bool reads_platform{false};
 };
 
--- a/libraries/node/operator_server.cpp
+++ b/libraries/node/operator_server.cpp
@@ -35,6 +35,14 @@
                           ready ? status_code::Ok : status_code::ServiceUnavailable);
     });
     this->server->route("/metrics", [this] { return plain_text(this->detailed_status()->metrics_text); });
+    this->server->route("/configuration", [this] {
+        auto const snapshot = this->status();
+        bool const has_one = snapshot->configuration != nullptr && snapshot->configuration_revision > 0;
+        return has_one
+                   ? QHttpServerResponse("application/json",
+                                         QByteArray::fromStdString(bundle_to_json(*snapshot->configuration)))
+                   : plain_text("no configuration is in force\n", status_code::NotFound);
+    });
     this->server->route("/status", [this] {
         return QHttpServerResponse("application/json",
                                    QByteArray::fromStdString(this->detailed_status()->status_json));
--- a/tests/system/configuration_test.cpp
+++ b/tests/system/configuration_test.cpp
@@ -1,6 +1,8 @@
 /// Changes of keys and configuration take effect on all nodes within seconds, are never rolled back to an
 /// older revision, and are rejected as a whole when invalid.
 
+#include "config/configuration_review.hpp"
+#include "standins/test_client.hpp"
 #include "system/support.hpp"
 
 #include <csignal>
@@ -100,6 +102,23 @@
     CHECK(calls <= 5 * 6 * 3);
 }
 
+TEST_CASE("a node tells operators the configuration that it has in force, so that files can be compared") {
+    fleet system({.configuration = base_configuration(), .hosts = flat_hosts()});
+    REQUIRE(system.wait_ready());
+    auto const revision = system.publish(base_configuration(50, 5));
+    REQUIRE(wait_configuration_revision(system, revision, propagation_limit));
+    auto const answer =
+        fetch(system.node(0).ip, operators_port, "GET", "/configuration", {}, "", std::chrono::seconds(2));
+    auto const items_of = [](bundle const& content) {
+        return attempt_or([&] { return bundle_items(content); }, [](problem const&) { return item_set{}; });
+    };
+    auto const in_force =
+        attempt_or([&] { return bundle_from_json(answer.body); }, [](problem const&) { return bundle{}; });
+    CHECK(in_force.manifest_text == system.published_bundle(revision).manifest_text);
+    CHECK(items_of(in_force).size() == items_of(system.published_bundle(revision)).size());
+    CHECK(compare_items(items_of(in_force), items_of(system.published_bundle(revision))).empty());
+}
+
 TEST_CASE("every node rejects an invalid configuration as a whole and keeps the last valid one") {
     fleet system({.configuration = base_configuration(), .hosts = flat_hosts()});
     REQUIRE(system.wait_ready());
--- a/utilities/carawayctl/commands.cpp
+++ b/utilities/carawayctl/commands.cpp
@@ -2,6 +2,8 @@
 
 #include "base/digest.hpp"
 #include "config/bundle.hpp"
+#include "config/configuration_review.hpp"
+#include "configuration_check.hpp"
 #include "http_get.hpp"
 #include "request_log.hpp"
 
@@ -45,20 +47,6 @@
     return line.colour ? "\033[" + std::string(code) + "m" + content + "\033[0m" : content;
 }
 
-std::string to_display_text(located_value const& value) {
-    struct visitor {
-        std::string operator()(double number) const {
-            std::ostringstream stream;
-            stream << std::setprecision(number_digits) << number;
-            return stream.str();
-        }
-        std::string operator()(bool boolean) const { return boolean ? "true" : "false"; }
-        std::string operator()(std::string const& content) const { return "\"" + content + "\""; }
-        std::string operator()(std::vector<std::string> const&) const { return "[...]"; }
-    };
-    return std::visit(visitor{}, value.value);
-}
-
 result<int> check(command_line const& line) {
     BOOST_LEAF_AUTO(items, read_configuration_folder(line.operands.front()));
     BOOST_LEAF_AUTO(new_bundle, make_bundle(items, 1));
@@ -82,16 +70,8 @@
               << compiled->key_count() << " keys, " << compiled->services().size() << " services, "
               << compiled->routes().size() << " routes; " << new_bundle.values.size()
               << " values, the largest of " << largest << " bytes\n";
-    for (auto const& [name, entry] : compiled->organisations()) {
-        for (auto const& [domain, domain_settings] : compiled->failure_domains()) {
-            if (domain_settings.weight > 0 && entry.burst * domain_settings.weight < 1) {
-                std::cout
-                    << colourise(line, "note", "33") << ": organisation '" << name << "' has a burst of "
-                    << entry.burst << "; its part in '" << domain
-                    << "' is below one request, so that domain serves it only while it can lease tokens "
-                       "from others\n";
-            }
-        }
+    for (auto const& entry : review_items(items).findings) {
+        std::cout << colourise(line, "note", "33") << ": " << entry.key << ": " << entry.message << '\n';
     }
     return exit_success;
 }
@@ -398,6 +378,9 @@
 
 constexpr auto commands = std::to_array<command_entry>({
     {"check", "DIR", 1, "merge the folder and report the first mistake with file and line", check},
+    {"config", "check FILE...", 2,
+     "report every finding in files or folders, and with --against what publishing them would change",
+     check_configuration},
     {"bundle", "DIR", 1, "print the values to publish as JSON; needs --revision", bundle_command},
     {"show", "DIR", 1, "print the merged folder with the file and line of each value", show},
     {"status", "IP:PORT", 1, "print a node's status from its operators' address; fails unless it is ready",
