node, policy, platform: Pace targets while they are cold or may be

A cold target crashes when it gets more than its configured rate, and nothing but the remaining time of its entry was read. The host beside the target now holds one pace out of its reasons (target_pace): the stated limit as before, and the cold rate. What the host doesn't know counts as cold until a health check, sent only when the pace is about to delay requests, says otherwise.

--- a/libraries/base/result_code.hpp
+++ b/libraries/base/result_code.hpp
@@ -56,6 +56,7 @@
     answer_lost = 316,
     target_limited = 317,
     domain_evacuated = 318,
+    target_cold = 319,
 
     configuration_syntax = 400,
     configuration_unknown_name = 401,
--- a/libraries/config/configuration.hpp
+++ b/libraries/config/configuration.hpp
@@ -31,6 +31,10 @@
     std::string name;
     int slots{0};       ///< Requests that one target runs at once; 0 when only the host list says it.
     int connections{1}; ///< Most connections to one target, and so also a limit of its slots.
+    /// Requests per second that a cold target accepts from all hosts together; 0 when targets are never cold.
+    double cold_rate{0};
+    double cold_ms{0};       ///< How long a target is cold after it has started, in milliseconds.
+    std::string health_path; ///< What a health check asks for; empty when targets answer none.
 };
 
 /// One service of a route whose traffic is split by weight.
--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -97,6 +97,9 @@
     }
 
     void set_dialect_headers(http::request<http::string_body>& message) const {
+        if (this->request.is_health_check) {
+            return;
+        }
         auto const& dialect = this->client.options.dialect;
         auto const set = [&message](std::string const& name, std::string const& value) {
             if (!name.empty() && !value.empty()) {
@@ -207,6 +210,9 @@
     void on_response() {
         auto response = this->parser->release();
         auto const& dialect = this->client.options.dialect;
+        if (this->request.is_health_check) {
+            return this->on_health_response(response);
+        }
         if (dialect.checks_request_id && response[dialect.request_id] != this->request.request_id) {
             return this->skip_stray_answer(response);
         }
@@ -257,6 +263,26 @@
         this->deliver(std::move(answer));
     }
 
+    /// An answer of any status counts: a target that is full or failing states how long it is cold as well.
+    void on_health_response(http::response<http::string_body> const& response) {
+        auto const& dialect = this->client.options.dialect;
+        auto const instance = response[dialect.answering_instance.empty() ? "-" : dialect.answering_instance];
+        bool const is_wanted = dialect.answering_instance.empty() || this->request.instance.empty() ||
+                               instance == this->request.instance;
+        if (response.keep_alive() && !this->was_cancelled && this->connection->buffer.size() == 0) {
+            this->connection->idle_limit = idle_limit_from(response);
+            this->client.keep_for_reuse(std::move(this->connection));
+        }
+        if (!is_wanted) {
+            return this->finish(outcome::ran, result_code::target_replaced);
+        }
+        this->deliver({.id = this->request.id,
+                       .result = outcome::ran,
+                       .code = result_code::ok,
+                       .status = static_cast<std::uint16_t>(response.result_int()),
+                       .statement = read_target_statement(dialect, response)});
+    }
+
     /// Skips a late answer to an earlier request on this connection; this request's answer may still follow.
     void skip_stray_answer(http::response<http::string_body> const& stray) {
         bool const names_another = stray.count(this->client.options.dialect.request_id) > 0;
--- a/libraries/http/target_client.hpp
+++ b/libraries/http/target_client.hpp
@@ -40,6 +40,8 @@
     std::string calling_service;
     std::string instance; ///< Incarnation of the target that the request is meant for; empty for any.
     bool idempotent{true};
+    /// Asks the target for its state in place of a caller's request: only `path` and `instance` are used.
+    bool is_health_check{false};
 };
 
 struct target_answer {
--- a/libraries/http/target_statement.cpp
+++ b/libraries/http/target_statement.cpp
@@ -22,7 +22,8 @@
     return text.substr(first, text.find_last_not_of(blanks) - first + 1);
 }
 
-std::optional<double> parse_rate(std::string_view text) {
+/// A finite decimal number that is not negative.
+std::optional<double> parse_figure(std::string_view text) {
     auto const digits = trimmed(text);
     double rate = 0;
     auto const [end, error] =
@@ -43,7 +44,7 @@
         auto const [first, last] = header.equal_range(dialect.target_rate_limit);
         for (auto field = first; field != last; ++field) {
             auto const value = field->value();
-            auto const rate = parse_rate({value.data(), value.size()});
+            auto const rate = parse_figure({value.data(), value.size()});
             if (rate) {
                 statement.rate_limit = std::min(*rate, statement.rate_limit.value_or(*rate));
             }
@@ -54,6 +55,10 @@
         auto const value = header[dialect.target_leaving];
         statement.leaving = trimmed({value.data(), value.size()}) == leaving_value;
     }
+    if (!dialect.target_cold.empty()) {
+        auto const value = header[dialect.target_cold];
+        statement.cold_ms = parse_figure({value.data(), value.size()});
+    }
     return statement;
 }
 
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -33,7 +33,7 @@
 } // namespace
 
 executor::executor(node_context& shared, time_point started)
-    : context(shared), local_target(shared), limiter(1), queue(min_queue_capacity), tickets(started) {}
+    : context(shared), local_target(shared, started), limiter(1), queue(min_queue_capacity), tickets(started) {}
 
 int executor::concurrency_limit() const {
     return this->context.has_full_control() ? this->limiter.limit() : this->slots;
@@ -74,7 +74,7 @@
 
 result_code executor::queue_refusal(result_code without_limit, time_point now) const {
     bool const has_free_slot = this->running < static_cast<std::size_t>(this->concurrency_limit());
-    return this->local_target.is_pacing(now) && has_free_slot ? result_code::target_limited : without_limit;
+    return this->local_target.is_pacing(now) && has_free_slot ? this->local_target.pace_refusal(now) : without_limit;
 }
 
 void executor::set_listed_slots(int count) {
@@ -207,6 +207,7 @@
 void executor::admit(execution&& work, time_point now) {
     auto const id = work.id;
     auto const weight = this->weight_of(work.request.organisation);
+    this->local_target.note_demand(now);
     this->controller.record_arrival(work.request.organisation, work.request.priority, weight);
     for (auto const& waiter : work.waiters) {
         this->by_call[{waiter.host, waiter.call_id}] = id;
@@ -236,7 +237,7 @@
         return this->refuse(id, result_code::node_busy, now);
     }
     if (this->would_expire_in_queue(queue_entry, now)) {
-        return this->refuse(id, result_code::target_limited, now);
+        return this->refuse(id, this->local_target.pace_refusal(now), now);
     }
     this->update_queue_capacity(now);
     auto const evicted = this->queue.push(queue_entry);
@@ -325,8 +326,9 @@
     if (work == nullptr) {
         return;
     }
+    bool const is_paced = code == result_code::target_limited || code == result_code::target_cold;
     double const retry_after_ms =
-        code == result_code::target_limited
+        is_paced
             ? this->local_target.record_refusal(this->queue.size(), now).milliseconds
             : refusal_retry_after_ms;
     this->finish(*work, {.result = outcome::not_run, .code = code, .retry_after_ms = retry_after_ms}, now);
@@ -407,12 +409,16 @@
 }
 
 void executor::on_target_answer(target_answer&& answer, time_point now) {
+    if (this->local_target.on_check_answer(answer, now)) {
+        return this->start_queued(now);
+    }
     auto* work = this->find(answer.id);
     if (work == nullptr) {
         return;
     }
+    this->local_target.on_request_ended(answer, now);
     if (answer.statement) {
-        this->local_target.on_statement(*answer.statement, work->request.instance, now);
+        this->local_target.on_statement(*answer.statement, work->request.instance, work->started, now);
     }
     auto const elapsed = now - work->started;
     this->context.node_metrics.observe(latency_metric::target, elapsed);
--- a/libraries/node/host_selector.cpp
+++ b/libraries/node/host_selector.cpp
@@ -22,8 +22,8 @@
             std::ranges::find(request.refusing_domains, domain) != request.refusing_domains.end();
         return is_evacuated || this->context.targets.is_leaving(this->target_of(candidate.host));
     });
-    auto const is_unlimited = [this](candidate_host const& candidate) {
-        return !this->context.targets.rate_limit(this->target_of(candidate.host));
+    auto const is_unlimited = [this, now](candidate_host const& candidate) {
+        return !this->context.targets.accepted_rate(this->target_of(candidate.host), now);
     };
     // After such a refusal the next attempt may be the last, so it goes to a target that has stated no limit.
     bool const needs_unlimited =
@@ -55,11 +55,7 @@
 }
 
 target_id host_selector::target_of(std::string const& host) const {
-    if (host == this->context.options.host) {
-        return this->context.own_target_id;
-    }
-    auto const* peer = this->context.peers.find(host);
-    return peer == nullptr ? 0 : peer->target;
+    return this->context.listed_target_of(host);
 }
 
 std::string host_selector::instance_of(std::string const& host) const {
--- a/libraries/node/node_context.hpp
+++ b/libraries/node/node_context.hpp
@@ -7,6 +7,7 @@
 #include "node/effects.hpp"
 #include "node/peer_table.hpp"
 #include "policy/admission_view.hpp"
+#include "policy/cold_pace.hpp"
 #include "policy/local_rate_share.hpp"
 #include "policy/quarantine.hpp"
 #include "policy/retry_allowance.hpp"
@@ -66,10 +67,26 @@
         constexpr double thousandths = 1000;
         auto const rate_limit =
             report.target_is_limited ? std::optional(report.target_rate_limit / thousandths) : std::nullopt;
-        this->targets.record_report(report.target, {.rate_limit = rate_limit,
-                                                    .leaving = report.target_is_leaving,
-                                                    .sender_count = report.target_senders,
-                                                    .updated = now});
+        auto const cold_until = now + duration{static_cast<double>(report.target_cold_ms)};
+        if (report.target != 0) {
+            this->targets.record_report(report.target, {.rate_limit = rate_limit,
+                                                        .leaving = report.target_is_leaving,
+                                                        .sender_count = report.target_senders,
+                                                        .cold_until = cold_until,
+                                                        .updated = now});
+        } else if (report.target_cold_ms > 0) {
+            // The host has no answer of its target yet, so that what other nodes know of a limit holds on.
+            this->targets.record_cold(this->listed_target_of(from), cold_until, report.target_senders, now);
+        }
+    }
+
+    /// The incarnation of the host's target that the host list names; 0 when it names none.
+    target_id listed_target_of(std::string const& host) const {
+        if (host == this->options.host) {
+            return this->own_target_id;
+        }
+        auto const* peer = this->peers.find(host);
+        return peer == nullptr ? 0 : peer->target;
     }
 
     /// Whether the operator has asked that the own target gets no new work.
@@ -98,6 +115,7 @@
     service_retry_budget service_retries;
     quarantine request_quarantine;
     metrics node_metrics;
+    cold_tolerance tolerated_cold; ///< How far a cold target's rate may be exceeded.
     /// Describes this node's current state to other nodes.
     std::function<host_report()> make_own_report;
 };
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -59,6 +59,7 @@
       local_executor(context, started), evacuation(context, local_executor), router(context, local_executor),
       documents(context.pending_effects, started, traits.has_monotonic_reads),
       tolerance(traits.quota_tolerance), last_event_time(started) {
+    this->context.tolerated_cold = traits.cold;
     this->context.make_own_report = [this] { return this->own_report(this->last_event_time); };
     // Configured peers allow links before any host list has been read; rate leases need the list itself.
     this->hosts = seed_hosts(this->context.options);
@@ -74,12 +75,13 @@
         .limit = static_cast<std::uint32_t>(this->local_executor.concurrency_limit()),
         .leaving = this->context.phase == node_phase::draining || this->context.phase == node_phase::stopped,
         .serving = this->context.phase == node_phase::serving && this->context.configuration != nullptr};
-    this->local_executor.target().describe(report);
+    this->local_executor.target().describe(report, now);
     return report;
 }
 
 void node_core::handle(core_event&& event, time_point now) {
     this->last_event_time = now;
+    this->local_executor.target().note_time(now);
     std::visit(
         lambda_visitor{
             [&](listener_request& request) { this->router.on_request(std::move(request), now); },
@@ -165,6 +167,7 @@
         if (reported.is_limited) {
             state.rate_limit = reported.rate_limit / rate_limit_unit;
         }
+        state.cold_until = state.updated + duration{reported.cold_ms};
         this->local_executor.target().adopt(reported.target, state, now);
         this->context.targets.merge(reported.target, state, now);
     }
@@ -205,6 +208,8 @@
     this->context.configuration = std::move(configuration);
     this->configure_rate_limits(now);
     this->local_executor.apply_configuration();
+    this->local_executor.target().apply_configuration(now);
+    this->configure_cold_rates();
     this->context.pending_effects.log(
         log_level::info, "configuration_in_force",
         {{"revision", std::to_string(this->context.configuration->revision())}});
@@ -263,8 +268,10 @@
 }
 
 void node_core::apply_host_list(host_list const& list, time_point now) {
-    this->hosts = merge_host_list(this->hosts, list);
+    auto const before = std::exchange(this->hosts, merge_host_list(this->hosts, list));
     this->context.peers.update_hosts(this->hosts, now);
+    this->configure_cold_rates();
+    this->record_listed_cold(before, now);
     domain_hosts listed;
     for (auto const& entry : this->hosts) {
         listed[entry.failure_domain].insert(entry.host);
@@ -275,7 +282,8 @@
     bool const is_listed = own != this->hosts.end();
     this->context.own_target_instance = is_listed ? own->instance : "";
     this->local_executor.target().on_listed(
-        is_listed ? make_target_id(own->host, own->instance, own->started_ms) : 0, now);
+        is_listed ? make_target_id(own->host, own->instance, own->started_ms) : 0,
+        duration{is_listed ? own->warm_up_ms : 0}, now);
     // A list that names other hosts but not this one means that its target has left without notice.
     this->context.target_is_leaving = is_listed ? own->leaving : !this->hosts.empty();
     this->local_executor.set_listed_slots(is_listed ? own->slots : 0);
@@ -287,6 +295,37 @@
                                        {"hosts", std::to_string(this->hosts.size())}});
 }
 
+void node_core::configure_cold_rates() {
+    std::unordered_map<target_id, double> rates;
+    for (auto const& entry : this->hosts) {
+        auto const* service = this->context.configuration == nullptr
+                                  ? nullptr
+                                  : this->context.configuration->find_service(entry.service);
+        if (service != nullptr && service->cold_rate > 0) {
+            rates[make_target_id(entry.host, entry.instance, entry.started_ms)] =
+                plan_cold_pace(service->cold_rate, this->context.tolerated_cold).pace;
+        }
+    }
+    this->context.targets.configure_cold_rates(std::move(rates));
+}
+
+void node_core::record_listed_cold(std::vector<listed_host> const& before, time_point now) {
+    std::unordered_map<std::string, listed_host const*> known_hosts;
+    for (auto const& entry : before) {
+        known_hosts[entry.host] = &entry;
+    }
+    for (auto const& entry : this->hosts) {
+        auto const known = known_hosts.find(entry.host);
+        bool const is_unchanged = known != known_hosts.end() && known->second->instance == entry.instance &&
+                                  known->second->started_ms == entry.started_ms &&
+                                  known->second->warm_up_ms == entry.warm_up_ms;
+        if (entry.warm_up_ms > 0 && !is_unchanged) {
+            this->context.targets.record_cold(make_target_id(entry.host, entry.instance, entry.started_ms),
+                                              now + duration{entry.warm_up_ms}, 0, now);
+        }
+    }
+}
+
 void node_core::on_phase(node_phase phase, time_point now) {
     this->context.phase = phase;
     if (phase != node_phase::draining) {
@@ -317,7 +356,8 @@
                                        .is_leaving = state.leaving,
                                        .rate_limit = static_cast<std::uint32_t>(
                                            std::llround(state.rate_limit.value_or(0) * rate_limit_unit)),
-                                       .age_ms = (now - state.updated).milliseconds});
+                                       .age_ms = (now - state.updated).milliseconds,
+                                       .cold_ms = std::max(0.0, (state.cold_until - state.updated).milliseconds)});
         }
     }
     return content;
@@ -384,6 +424,7 @@
 void node_core::run_periodic_tasks(time_point now) {
     this->last_event_time = now;
     this->evacuation.run_periodic_tasks(now);
+    this->local_executor.target().note_time(now);
     this->local_executor.run_periodic_tasks(now);
     this->router.run_periodic_tasks(now);
     this->documents.run_periodic_tasks(now);
@@ -479,6 +520,10 @@
     node_metrics.set_gauge("target_queue", static_cast<double>(this->local_executor.queue_length()));
     node_metrics.set_gauge("target_limit", static_cast<double>(this->local_executor.concurrency_limit()));
     node_metrics.set_gauge("target_rate_limit", this->local_executor.target().rate_limit().value_or(-1));
+    node_metrics.set_gauge("target_cold_ms", this->local_executor.target().cold_for(now).milliseconds);
+    node_metrics.set_gauge("target_pace", this->local_executor.target().is_pacing(now)
+                                              ? this->local_executor.target().pace(now)
+                                              : -1);
     node_metrics.set_gauge("target_leaving", this->local_executor.target().is_leaving() ? 1 : 0);
     node_metrics.set_gauge("domains_evacuated",
                            static_cast<double>(this->context.evacuations.in_force().size()));
--- a/libraries/node/node_core.hpp
+++ b/libraries/node/node_core.hpp
@@ -61,6 +61,10 @@
     std::vector<std::string> listed_readers() const;
     void observe_readers(time_point now);
     void configure_rate_limits(time_point now);
+    /// Tells the target table what cold targets of the listed hosts accept.
+    void configure_cold_rates();
+    /// Takes the targets as cold whose entries say so and have changed since the list before.
+    void record_listed_cold(std::vector<listed_host> const& before, time_point now);
     /// Sends gossip to the next peer when the interval has passed, or to several at once when there is news.
     void gossip_if_due(time_point now);
     gossip_message make_gossip(bool wants_answer, time_point now);
--- a/libraries/node/own_target.cpp
+++ b/libraries/node/own_target.cpp
@@ -17,22 +17,53 @@
 constexpr double thousandths = 1000;
 constexpr double max_reported_limit = 1e6;
 
+/// A process without an event for this long stood still, or its host was suspended.
+constexpr duration freeze_span{1000};
+/// A target that was not heard of for this long may have started again meanwhile.
+constexpr duration silence_span{1000};
+constexpr std::uint64_t check_id_flag = std::uint64_t{1} << 63U;
+constexpr double check_timeout_ms = 1000;
+/// A target that is taken as cold without having said so is asked only when its pace is about to delay
+/// requests: health checks take a slot of the target.
+constexpr double tokens_without_check = 2;
+
+std::string rounded(double value) {
+    return std::to_string(std::llround(value));
+}
+
 std::string rate_text(std::optional<double> limit) {
     return limit ? std::to_string(std::round(*limit * thousandths) / thousandths) : "none";
 }
 
 } // namespace
 
-void own_target::on_listed(target_id listed, time_point now) {
+void own_target::apply_configuration(time_point now) {
+    auto const* service = this->context.configuration == nullptr
+                              ? nullptr
+                              : this->context.configuration->find_service(this->context.options.service);
+    double const rate = service == nullptr ? 0 : service->cold_rate;
+    this->pacer.cold.configure(rate, this->context.tolerated_cold, now);
+    this->coldness.configure(duration{service == nullptr ? 0 : service->cold_ms});
+    this->health_path = service == nullptr ? "" : service->health_path;
+    this->update_cold(now);
+}
+
+void own_target::on_listed(target_id listed, duration cold_for, time_point now) {
     this->context.own_target_id = listed;
-    if (listed == 0 || listed == this->incarnation) {
+    if (listed == 0) {
         return; // An entry that has expired may be back under the same incarnation.
     }
+    if (listed == this->incarnation) {
+        this->coldness.on_listed_again(cold_for, now);
+        return this->set_cold_cause("host_list", now);
+    }
     this->incarnation = listed;
     this->set_rate_limit(std::nullopt, "new_incarnation", now);
-    this->limiter.reset();
+    this->pacer.limit.reset();
     this->is_known = false;
     this->leaving = false;
+    this->coldness.on_new_incarnation(cold_for, now);
+    this->set_cold_cause("new_incarnation", now);
     // Peers may have told what the target states before the host list named it.
     if (auto const* known = this->context.targets.find(listed)) {
         this->adopt(listed, target_state(*known), now);
@@ -40,10 +71,14 @@
 }
 
 void own_target::on_statement(target_statement const& statement, std::string const& instance,
-                              time_point now) {
+                              time_point sent, time_point now) {
     if (instance != this->context.own_target_instance) {
         return; // A late answer of an earlier incarnation.
     }
+    if (statement.cold_ms) {
+        this->coldness.on_stated(duration{*statement.cold_ms}, sent, now);
+        this->set_cold_cause("target", now);
+    }
     this->is_known = true;
     if (statement.has_unreadable_rate_limit) {
         this->context.node_metrics.increment_counter("target_limits_unreadable");
@@ -55,8 +90,124 @@
     }
 }
 
+void own_target::on_request_ended(target_answer const& answer, time_point now) {
+    this->outstanding -= std::min<std::size_t>(this->outstanding, 1);
+    bool const is_gone = answer.code == result_code::target_unreachable || answer.refuses_connections;
+    if (is_gone) {
+        this->coldness.note_lost(now);
+        this->set_cold_cause("unreachable", now);
+    } else if (answer.code == result_code::target_replaced) {
+        this->assume_cold("replaced", now);
+    } else if (answer.result == outcome::ran || answer.statement) {
+        this->last_contact = now;
+        this->coldness.note_answer(now);
+        this->set_cold_cause("reachable_again", now);
+    }
+}
+
+void own_target::assume_cold(std::string_view reason, time_point now) {
+    this->coldness.assume(now);
+    this->set_cold_cause(reason, now);
+}
+
+void own_target::note_time(time_point now) {
+    bool const stood_still = this->last_event.milliseconds > 0 && now - this->last_event >= freeze_span;
+    this->last_event = now;
+    if (stood_still) {
+        this->assume_cold("process_stood_still", now);
+    }
+}
+
+void own_target::note_demand(time_point now) {
+    bool const is_first = this->last_contact.milliseconds == 0;
+    if (is_first || (this->outstanding == 0 && now - this->last_contact >= silence_span)) {
+        this->last_contact = now;
+        this->assume_cold(is_first ? "first_contact" : "silence", now);
+    }
+}
+
+void own_target::set_cold_cause(std::string_view reason, time_point now) {
+    bool const is_cold_now = this->pacer.cold.is_configured() && this->coldness.is_cold(now);
+    if (is_cold_now && !this->is_cold) {
+        this->cold_cause = reason;
+    }
+    this->update_cold(now);
+}
+
+void own_target::update_cold(time_point now) {
+    bool const is_cold_now = this->pacer.cold.is_configured() && this->coldness.is_cold(now);
+    if (is_cold_now == this->is_cold) {
+        return;
+    }
+    this->is_cold = is_cold_now;
+    header_list fields{{"instance", this->context.own_target_instance}, {"reason", this->cold_cause}};
+    if (is_cold_now) {
+        this->cold_since = now;
+        this->pacer.cold.begin(now);
+        fields.push_back({"for_ms", rounded(this->coldness.remaining(now).milliseconds)});
+    } else {
+        bool const was_cold = !this->coldness.is_refuted();
+        was_cold ? this->pacer.cold.end(now) : this->pacer.cold.withdraw();
+        fields.push_back({"after_ms", rounded((now - this->cold_since).milliseconds)});
+    }
+    this->context.pending_effects.log(log_level::info, is_cold_now ? "target_cold" : "target_warm",
+                                      std::move(fields));
+}
+
+duration own_target::cold_for(time_point now) const {
+    return this->is_cold ? this->coldness.remaining(now) : duration{0};
+}
+
+result_code own_target::pace_refusal(time_point now) const {
+    return this->pacer.binding_reason(now) == pace_reason::cold ? result_code::target_cold
+                                                                : result_code::target_limited;
+}
+
+void own_target::check_if_due(time_point now) {
+    bool const is_wanted = this->is_cold && !this->health_path.empty() &&
+                           this->pacer.cold.tokens_at(now) < tokens_without_check &&
+                           this->coldness.wants_check(now);
+    if (!is_wanted || !this->may_send(now)) {
+        return;
+    }
+    this->check_id = check_id_flag | ++this->checks_sent;
+    this->check_instance = this->context.own_target_instance;
+    this->check_sent = now;
+    this->coldness.on_check_sent(now);
+    this->pacer.record_sent(now);
+    this->context.node_metrics.increment_counter("target_checks");
+    this->context.pending_effects.target_requests.push_back({.id = this->check_id,
+                                                             .method = "GET",
+                                                             .path = this->health_path,
+                                                             .timeout_ms = check_timeout_ms,
+                                                             .instance = this->check_instance,
+                                                             .is_health_check = true});
+}
+
+bool own_target::on_check_answer(target_answer const& answer, time_point now) {
+    if ((answer.id & check_id_flag) == 0) {
+        return false;
+    }
+    if (answer.id != this->check_id) {
+        return true;
+    }
+    this->check_id = 0;
+    this->coldness.on_check_ended();
+    bool const is_answered = answer.code == result_code::ok && answer.statement && answer.statement->cold_ms;
+    if (is_answered && this->check_instance == this->context.own_target_instance) {
+        this->last_contact = now;
+        this->coldness.on_stated(duration{*answer.statement->cold_ms}, this->check_sent, now);
+        this->set_cold_cause("target", now);
+    }
+    return true;
+}
+
 void own_target::adopt(target_id target, target_state const& state, time_point now) {
     bool const is_wanted = !this->is_known && target != 0 && target == this->incarnation;
+    if (is_wanted && state.cold_until > now) {
+        this->coldness.on_heard(state.cold_until - now, now);
+        this->set_cold_cause("peer", now);
+    }
     bool const is_restricted = state.rate_limit || state.leaving;
     if (!is_wanted || !is_restricted) {
         return;
@@ -89,36 +240,41 @@
     }
     this->stated_limit = limit;
     if (limit) {
-        this->limiter.set_limit(*limit, now);
+        this->pacer.limit.set_limit(*limit, now);
     } else {
-        this->limiter.release(now);
+        this->pacer.limit.release(now);
     }
 }
 
 void own_target::record_sent(bool nested, time_point now) {
-    this->limiter.record_sent(now);
+    this->pacer.record_sent(now);
+    ++this->outstanding;
+    this->last_contact = now;
     ++this->since_log.sent;
     this->since_log.nested += nested ? 1 : 0;
     this->context.node_metrics.increment_counter("target_requests");
+    this->check_if_due(now);
 }
 
 duration own_target::record_refusal(std::size_t queued, time_point now) {
     ++this->since_log.refused;
     this->context.node_metrics.increment_counter("target_limit_refusals");
-    auto const turn = std::max(now + this->limiter.time_until_token(queued, now), this->next_return);
-    this->next_return =
-        std::min(turn + this->limiter.time_until_token(1, now) - this->limiter.time_until_token(0, now),
-                 now + max_return_delay);
+    auto const turn = std::max(now + this->time_until_token(queued, now), this->next_return);
+    this->next_return = std::min(turn + this->time_until_token(1, now) - this->time_until_token(0, now),
+                                 now + max_return_delay);
     return turn - now;
 }
 
-void own_target::describe(host_report& report) const {
+void own_target::describe(host_report& report, time_point now) const {
     report.target = this->is_known ? this->context.own_target_id : 0;
     report.target_is_leaving = this->leaving;
     report.target_is_limited = this->stated_limit.has_value();
     if (this->stated_limit) {
         double const limit = std::min(*this->stated_limit, max_reported_limit);
         report.target_rate_limit = static_cast<std::uint32_t>(std::llround(limit * thousandths));
+    }
+    report.target_cold_ms = static_cast<std::uint32_t>(std::llround(this->cold_for(now).milliseconds));
+    if (this->stated_limit || report.target_cold_ms > 0) {
         report.target_senders = static_cast<std::uint32_t>(this->senders.size());
     }
 }
@@ -130,6 +286,8 @@
     if (this->leaving && !is_distinguishable && now - this->leaving_since >= anonymous_leaving_lifetime) {
         this->leaving = false;
     }
+    this->update_cold(now);
+    this->check_if_due(now);
     if (now - this->logged_at >= log_interval) {
         std::erase_if(this->senders,
                       [now](auto const& sender) { return now - sender.second >= sender_lifetime; });
@@ -141,11 +299,15 @@
     auto const span = now - this->logged_at;
     auto const totals = std::exchange(this->since_log, {});
     this->logged_at = now;
-    if (!this->stated_limit) {
+    auto const reason = this->pacer.binding_reason(now);
+    bool const has_counts = totals.sent > 0 || totals.refused > 0;
+    if (!this->stated_limit && (reason == pace_reason::none || !has_counts)) {
         return;
     }
     this->context.pending_effects.log(log_level::info, "target_limit",
                                       {{"limit", rate_text(this->stated_limit)},
+                                       {"reason", std::string(name_of(reason))},
+                                       {"cold_ms", rounded(this->cold_for(now).milliseconds)},
                                        {"sent", std::to_string(totals.sent)},
                                        {"nested", std::to_string(totals.nested)},
                                        {"refused", std::to_string(totals.refused)},
--- a/libraries/node/own_target.hpp
+++ b/libraries/node/own_target.hpp
@@ -1,51 +1,76 @@
-/// The own target as its only caller sees it: the limit that it states, the pace that this requires, and what
-/// it was sent and refused meanwhile.
+/// The own target as its only caller sees it: the limit that it states, whether it is cold, the pace that this
+/// requires, and what it was sent and refused meanwhile.
 #pragma once
 
 #include "http/target_statement.hpp"
 #include "node/node_context.hpp"
-#include "policy/target_rate_limiter.hpp"
+#include "policy/cold_state.hpp"
+#include "policy/target_pace.hpp"
 
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 namespace caraway {
 
 class own_target {
 public:
-    explicit own_target(node_context& shared) : context(shared) {}
+    own_target(node_context& shared, time_point started) : context(shared), pacer(started) {}
 
-    /// Forgets what the target stated when the host list names another incarnation of it.
-    void on_listed(target_id listed, time_point now);
-    /// Handles the statement of an answer to a request that was meant for `instance`.
-    void on_statement(target_statement const& statement, std::string const& instance, time_point now);
+    /// Takes over what the configuration says of cold targets of the service.
+    void apply_configuration(time_point now);
+    /// Forgets what the target stated when the host list names another incarnation of it. `cold_for`: how much
+    /// longer it was cold when its entry was written.
+    void on_listed(target_id listed, duration cold_for, time_point now);
+    /// Handles the statement of an answer to a request that was meant for `instance` and was sent at `sent`.
+    void on_statement(target_statement const& statement, std::string const& instance, time_point sent,
+                      time_point now);
+    /// Records that a request which was sent to the target has ended; `code` says how.
+    void on_request_ended(target_answer const& answer, time_point now);
+    /// True when the answer is that of a health check of this class.
+    bool on_check_answer(target_answer const& answer, time_point now);
     /// Takes over what other nodes know of the target, unless this process has an answer of it already.
     void adopt(target_id target, target_state const& state, time_point now);
 
-    bool may_send(time_point now) const { return this->limiter.may_send(now); }
-    bool is_pacing(time_point now) const { return this->limiter.is_pacing(now); }
+    /// The target may have become cold unnoticed: it is taken as cold until it has said that it is not, or for
+    /// the service's whole cold time. `reason` is for the operators' log.
+    void assume_cold(std::string_view reason, time_point now);
+    /// Called before anything else when the node handles an event: notices that the process stood still.
+    void note_time(time_point now);
+    /// Called when a request arrives, before `may_send`: notices that the target was not heard of for long.
+    void note_demand(time_point now);
+
+    bool may_send(time_point now) const { return this->pacer.may_send(now); }
+    bool is_pacing(time_point now) const { return this->pacer.is_pacing(now); }
     /// Requests per second; only meaningful while requests are paced.
-    double pace(time_point now) const { return this->limiter.pace(now); }
+    double pace(time_point now) const { return this->pacer.pace(now); }
+    /// Why a request is refused that the pace leaves no room for.
+    result_code pace_refusal(time_point now) const;
+    pace_reason binding_reason(time_point now) const { return this->pacer.binding_reason(now); }
     /// `ahead`: requests that are sent before.
     duration time_until_token(std::size_t ahead, time_point now) const {
-        return this->limiter.time_until_token(ahead, now);
+        return this->pacer.time_until_token(ahead, now);
     }
     /// `nested`: the request is a call that another target makes.
     void record_sent(bool nested, time_point now);
     /// Records that a request arrived from the host.
     void record_sender(std::string const& host, time_point now) { this->senders[host] = now; }
-    /// Records a refusal because of the limit. Returns when the caller should try again: refused requests are
-    /// told different times, as far apart as the limit requires. `queued`: requests that wait for their turn.
+    /// Records a refusal because of the pace. Returns when the caller should try again: refused requests are
+    /// told different times, as far apart as the pace requires. `queued`: requests that wait for their turn.
     duration record_refusal(std::size_t queued, time_point now);
     void run_periodic_tasks(time_point now);
 
     /// Requests per second; empty while the target states no limit.
     std::optional<double> rate_limit() const { return this->stated_limit; }
     duration limited_for(time_point now) const { return now - this->limited_since; }
+    /// How much longer the target is taken as cold; 0 while it is not.
+    duration cold_for(time_point now) const;
+    /// Why the target is taken as cold, or was so last.
+    std::string const& cold_reason() const { return this->cold_cause; }
     /// Whether the target has stated that it is leaving, which holds for the whole incarnation.
     bool is_leaving() const { return this->leaving; }
     /// Adds what is known of the target to a report of this node.
-    void describe(host_report& report) const;
+    void describe(host_report& report, time_point now) const;
 
 private:
     struct counts {
@@ -57,9 +82,27 @@
     void set_rate_limit(std::optional<double> limit, std::string const& source, time_point now);
     void set_leaving(std::string const& source, time_point now);
     void log_counts(time_point now);
+    /// `update_cold` with the reason that is logged if the target is cold from now on.
+    void set_cold_cause(std::string_view reason, time_point now);
+    /// Fits the pace to what is known of the target now, and logs a change.
+    void update_cold(time_point now);
+    /// Sends a health check when the target should be asked and its pace allows it.
+    void check_if_due(time_point now);
 
     node_context& context;
-    target_rate_limiter limiter;
+    target_pace pacer;
+    cold_state coldness;
+    bool is_cold{false};
+    std::string cold_cause;
+    time_point cold_since;
+    std::string health_path;
+    std::uint64_t check_id{0}; ///< Of the health check under way; 0 for none.
+    std::string check_instance; ///< The instance that it asks.
+    time_point check_sent;
+    std::uint64_t checks_sent{0};
+    std::size_t outstanding{0}; ///< Requests at the target.
+    time_point last_contact;    ///< When the target last had a request or answered one.
+    time_point last_event;
     target_id incarnation{0}; ///< The last one that the host list named.
     bool is_known{false};     ///< The target has answered, or other nodes have said what it states.
     std::optional<double> stated_limit;
--- a/libraries/node/request_router.cpp
+++ b/libraries/node/request_router.cpp
@@ -35,10 +35,15 @@
            answer.code == result_code::answer_lost;
 }
 
+/// Whether the host beside the target had no room for the request in the target's pace.
+bool is_paced_refusal(result_code code) {
+    return code == result_code::target_limited || code == result_code::target_cold;
+}
+
 bool is_refusal(answer_message const& answer) {
     return answer.code == result_code::overloaded || answer.code == result_code::queue_timeout ||
            answer.code == result_code::node_busy || answer.code == result_code::target_refused ||
-           answer.code == result_code::target_limited;
+           is_paced_refusal(answer.code);
 }
 
 /// Whether the request reached a target, so that another attempt counts as a retry for its service.
@@ -53,7 +58,7 @@
     return code == result_code::leaving || code == result_code::target_unreachable ||
            code == result_code::node_busy || code == result_code::not_ready ||
            code == result_code::queue_timeout || code == result_code::target_refused ||
-           code == result_code::target_replaced || code == result_code::target_limited;
+           code == result_code::target_replaced || is_paced_refusal(code);
 }
 
 /// Whether another attempt of an idempotent request is likely to succeed. A crash is not retried: if the
@@ -525,12 +530,13 @@
 void request_router::record_reports(pending_call const& call, std::string const& from,
                                     answer_message const& answer, time_point now) {
     this->context.record_report(from, answer.report, now);
-    if (answer.code == result_code::target_limited) {
-        this->context.targets.record_refusal(answer.report.target, now);
+    if (is_paced_refusal(answer.code)) {
+        this->context.targets.record_refusal(this->selector.target_of(from), now);
     }
     // A host whose target has stated a limit refuses what the other targets of the service may still accept.
     bool const others_have_room =
-        answer.report.target_is_limited && this->selector.has_target_with_room(selection_of(call), now);
+        (answer.report.target_is_limited || answer.report.target_cold_ms > 0) &&
+        this->selector.has_target_with_room(selection_of(call), now);
     this->admission.record_reports(
         call.request, answer.admissions,
         {.service_to_skip = others_have_room ? call.service : "",
@@ -556,7 +562,7 @@
         return false;
     }
     auto& allowance = this->allowance_of(call);
-    if (answer.code == result_code::target_limited) {
+    if (is_paced_refusal(answer.code)) {
         // Nothing reached a target, so that the budgets against repeats are not charged.
         call.was_refused_for_limit = true;
         return this->selector.has_target_with_room(selection_of(call), now) && allowance.try_consume();
@@ -697,7 +703,9 @@
 }
 
 void request_router::log_unanswered(pending_call const& call, answer_message const& answer, time_point now) {
-    auto const limit = this->context.targets.rate_limit(this->selector.target_of(call.attempt_host));
+    auto const target = this->selector.target_of(call.attempt_host);
+    auto const limit = this->context.targets.rate_limit(target);
+    auto const cold = this->context.targets.cold_for(target, now);
     auto const rounded = [](double milliseconds) { return std::to_string(std::llround(milliseconds)); };
     auto const rate_pools = answer.code == result_code::rate_exceeded
                                 ? this->describe_rate_pools(call.request.organisation, now)
@@ -717,6 +725,7 @@
          {"target_limit", limit ? rounded(*limit) : ""},
          {"evacuated", this->evacuated_domains()},
          {"rate_pools", rate_pools},
+         {"target_cold_ms", cold.milliseconds > 0 ? rounded(cold.milliseconds) : ""},
          {"attempts_left", std::to_string(call.allowance.remaining())},
          {"configuration", std::to_string(this->context.configuration->revision())}});
 }
--- a/libraries/node/status_report.cpp
+++ b/libraries/node/status_report.cpp
@@ -30,6 +30,7 @@
         auto const rate_limit = context.targets.rate_limit(peer->target);
         rows.append(QJsonObject{{"host", to_qstring(name)},
                                 {"target_rate_limit", rate_limit ? QJsonValue(*rate_limit) : QJsonValue()},
+                                {"target_cold_ms", context.targets.cold_for(peer->target, now).milliseconds},
                                 {"failure_domain", to_qstring(peer->entry.failure_domain)},
                                 {"service", to_qstring(peer->entry.service)},
                                 {"link", context.peers.is_connected(name) ? "open" : "closed"},
@@ -90,12 +91,17 @@
                              {"counted", static_cast<int>(members.members().size())},
                              {"pools_owned", number(context.rate_leases.pool_count())},
                              {"lent_requests", to_requests(context.rate_leases.outstanding())}};
+    auto const& own = sources.local.target();
     auto const stated_limit = sources.local.target().rate_limit();
     QJsonObject const target{
         {"rate_limit", stated_limit ? QJsonValue(*stated_limit) : QJsonValue()},
         {"limited_for_ms",
          stated_limit ? QJsonValue(sources.local.target().limited_for(now).milliseconds) : QJsonValue()},
         {"limit_refusals", number(context.node_metrics.counter("target_limit_refusals"))},
+        {"cold_ms", own.cold_for(now).milliseconds},
+        {"cold_reason", to_qstring(own.cold_for(now) > duration{0} ? own.cold_reason() : "")},
+        {"pace", own.is_pacing(now) ? QJsonValue(own.pace(now)) : QJsonValue()},
+        {"pace_reason", to_qstring(name_of(own.binding_reason(now)))},
         {"states_leaving", sources.local.target().is_leaving()},
         {"in_flight", number(sources.local.in_flight())},
         {"queued", number(sources.local.queue_length())},
--- a/libraries/platform/platform_source.hpp
+++ b/libraries/platform/platform_source.hpp
@@ -5,6 +5,7 @@
 #include "config/bundle.hpp"
 #include "config/settings.hpp"
 #include "http/http_dialect.hpp"
+#include "policy/cold_pace.hpp"
 #include "policy/local_rate_share.hpp"
 
 #include <functional>
@@ -42,6 +43,8 @@
     bool has_monotonic_reads{false};
     /// How far the platform lets the fleet exceed an organisation's rate limit; not at all by default.
     rate_tolerance quota_tolerance;
+    /// How far the platform lets the fleet exceed what a cold target accepts; not at all by default.
+    cold_tolerance cold;
 };
 
 /// Everything that depends on the platform: how it is read, and the HTTP fields of its callers and targets.
--- a/libraries/policy/target_state_table.cpp
+++ b/libraries/policy/target_state_table.cpp
@@ -4,6 +4,7 @@
 #include "policy/target_rate_limiter.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace caraway {
 
@@ -40,13 +41,37 @@
     }
 }
 
-double target_state_table::share_of(target_state const& state) {
-    double const pace = std::max(*state.rate_limit, min_target_pace);
-    return pace * share_surplus / std::max<std::uint32_t>(1, state.sender_count);
+void target_state_table::record_cold(target_id target, time_point until, std::uint32_t sender_count,
+                                     time_point now) {
+    if (target == 0) {
+        return;
+    }
+    auto const [known, inserted] = this->targets.try_emplace(target);
+    auto& state = known->second.state;
+    state.cold_until = std::max(state.cold_until, until);
+    state.sender_count = std::max(state.sender_count, sender_count);
+    if (inserted) {
+        state.updated = now;
+    }
 }
 
-double target_state_table::tokens_at(entry const& known, time_point now) {
-    double const share = share_of(known.state);
+void target_state_table::configure_cold_rates(std::unordered_map<target_id, double> rates) {
+    this->cold_rates = std::move(rates);
+}
+
+std::optional<double> target_state_table::accepted_rate(target_id target, target_state const& state,
+                                                        time_point now) const {
+    auto const cold = now < state.cold_until ? this->cold_rates.find(target) : this->cold_rates.end();
+    if (cold == this->cold_rates.end()) {
+        return state.rate_limit;
+    }
+    return std::min(cold->second, state.rate_limit.value_or(cold->second));
+}
+
+double target_state_table::tokens_at(target_id target, entry const& known, time_point now) const {
+    double const rate = this->accepted_rate(target, known.state, now).value_or(0);
+    double const share = std::max(rate, min_target_pace) * share_surplus /
+                         std::max<std::uint32_t>(1, known.state.sender_count);
     double const capacity = std::max(1.0, share * saved_span.seconds());
     return std::min(capacity,
                     known.tokens + share * std::max(duration{0}, now - known.refilled_at).seconds());
@@ -54,14 +79,15 @@
 
 bool target_state_table::has_room(target_id target, time_point now) const {
     auto const found = this->targets.find(target);
-    bool const is_limited = found != this->targets.end() && found->second.state.rate_limit;
-    return !is_limited || tokens_at(found->second, now) >= 1;
+    bool const is_limited =
+        found != this->targets.end() && this->accepted_rate(target, found->second.state, now);
+    return !is_limited || this->tokens_at(target, found->second, now) >= 1;
 }
 
 void target_state_table::record_sent(target_id target, time_point now) {
     auto const found = this->targets.find(target);
-    if (found != this->targets.end() && found->second.state.rate_limit) {
-        found->second.tokens = std::max(0.0, tokens_at(found->second, now) - 1);
+    if (found != this->targets.end() && this->accepted_rate(target, found->second.state, now)) {
+        found->second.tokens = std::max(0.0, this->tokens_at(target, found->second, now) - 1);
         found->second.refilled_at = now;
     }
 }
@@ -79,6 +105,17 @@
     return state == nullptr ? std::nullopt : state->rate_limit;
 }
 
+std::optional<double> target_state_table::accepted_rate(target_id target, time_point now) const {
+    auto const* state = this->find(target);
+    return state == nullptr ? std::nullopt : this->accepted_rate(target, *state, now);
+}
+
+duration target_state_table::cold_for(target_id target, time_point now) const {
+    auto const* state = this->find(target);
+    bool const may_be_cold = state != nullptr && this->cold_rates.contains(target);
+    return may_be_cold ? std::max(duration{0}, state->cold_until - now) : duration{0};
+}
+
 bool target_state_table::is_leaving(target_id target) const {
     auto const* state = this->find(target);
     return state != nullptr && state->leaving;
@@ -92,7 +129,8 @@
 std::vector<std::pair<target_id, target_state>> target_state_table::restricted_targets(time_point now) const {
     std::vector<std::pair<target_id, target_state>> restricted;
     for (auto const& [target, known] : this->targets) {
-        bool const is_restricted = known.state.rate_limit || known.state.leaving;
+        bool const is_restricted =
+            known.state.rate_limit || known.state.leaving || this->cold_for(target, now) > duration{0};
         if (is_restricted && now - known.state.updated < state_lifetime) {
             restricted.emplace_back(target, known.state);
         }
