node, policy, tests: Ask a target once whether it is cold, before queued requests use up its pace

Checks are now sent only while there is demand, ahead of queued requests. A property over restarts, pauses and lists found that what was sent in the second before has to count.

--- a/libraries/base/result_code.cpp
+++ b/libraries/base/result_code.cpp
@@ -83,7 +83,8 @@
      "The operator has evacuated the failure domain of every host that could run it; nothing was run.",
      "Wait for the time in Retry-After; look at 'evacuated_domains' in 'status'."},
     {target_cold, 503, "target_cold",
-     "The target has just started or may be cold, and others use up what it bears meanwhile; nothing was run.",
+     "The target has just started or may be cold, and others use up what it bears meanwhile; nothing was "
+     "run.",
      "Wait for the time in Retry-After; look for 'cold_ms' of the host's target in 'status'."},
     {configuration_syntax, 0, "configuration_syntax", "The file is not well-formed TOML.",
      "Mend the line that the message names."},
--- a/libraries/config/configuration.cpp
+++ b/libraries/config/configuration.cpp
@@ -165,7 +165,8 @@
 
 result<void> configuration::add_services(item_set const& items) {
     for (auto const& [name, fields] : section_of(items, "services")) {
-        this->service_table[name] = {name, static_cast<int>(number_or(fields, "slots", 0)),
+        this->service_table[name] = {name,
+                                     static_cast<int>(number_or(fields, "slots", 0)),
                                      static_cast<int>(number_or(fields, "connections", 1)),
                                      number_or(fields, "cold_rate", 0),
                                      number_or(fields, "cold_ms", 0),
--- a/libraries/http/http_dialect.hpp
+++ b/libraries/http/http_dialect.hpp
@@ -28,7 +28,9 @@
     /// Requests per second that the target accepts from all hosts together, for as long as it states this.
     std::string target_rate_limit{"X-Caraway-Rate-Limit"};
     std::string target_leaving{"X-Caraway-Leaving"}; ///< "1": the target is about to end.
-    std::string target_cold{"X-Caraway-Cold-Ms"};    ///< How much longer the target is cold, in milliseconds.
+    /// How much longer the target is cold, in milliseconds. A health check that is answered by 200 without it
+    /// says that the target is warm.
+    std::string target_cold{"X-Caraway-Cold-Ms"};
     /// Running and waiting requests and slots, separated by commas; a fourth figure states how long work
     /// takes at this moment, in percent of the usual time.
     std::string target_load{"X-Caraway-Load"};
--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -263,7 +263,8 @@
         this->deliver(std::move(answer));
     }
 
-    /// An answer of any status counts: a target that is full or failing states how long it is cold as well.
+    /// A target that is full or failing may state how long it is cold as well. One that is well and states
+    /// nothing is warm.
     void on_health_response(http::response<http::string_body> const& response) {
         auto const& dialect = this->client.options.dialect;
         auto const instance = response[dialect.answering_instance.empty() ? "-" : dialect.answering_instance];
@@ -276,11 +277,17 @@
         if (!is_wanted) {
             return this->finish(outcome::ran, result_code::target_replaced);
         }
+        auto statement = read_target_statement(dialect, response);
+        bool const states_warm = response.result() == http::status::ok && !dialect.target_cold.empty() &&
+                                 response.count(dialect.target_cold) == 0;
+        if (states_warm) {
+            statement.cold_ms = 0;
+        }
         this->deliver({.id = this->request.id,
                        .result = outcome::ran,
                        .code = result_code::ok,
                        .status = static_cast<std::uint16_t>(response.result_int()),
-                       .statement = read_target_statement(dialect, response)});
+                       .statement = statement});
     }
 
     /// Skips a late answer to an earlier request on this connection; this request's answer may still follow.
--- a/libraries/http/target_statement.hpp
+++ b/libraries/http/target_statement.hpp
@@ -29,8 +29,8 @@
     std::optional<target_load> load; ///< Empty when the field is missing or unreadable.
 };
 
-/// Reads the fields that the dialect names. A rate or time is a finite decimal number that is not negative; of
-/// several rates the lowest counts.
+/// Reads the fields that the dialect names. A rate or time is a finite decimal number that is not negative;
+/// of several rates the lowest counts.
 target_statement read_target_statement(http_dialect const& dialect, boost::beast::http::fields const& header);
 
 } // namespace caraway
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -33,7 +33,8 @@
 } // namespace
 
 executor::executor(node_context& shared, time_point started)
-    : context(shared), local_target(shared, started), limiter(1), queue(min_queue_capacity), tickets(started) {}
+    : context(shared), local_target(shared, started), limiter(1), queue(min_queue_capacity),
+      tickets(started) {}
 
 int executor::concurrency_limit() const {
     return this->context.has_full_control() ? this->limiter.limit() : this->slots;
@@ -74,7 +75,8 @@
 
 result_code executor::queue_refusal(result_code without_limit, time_point now) const {
     bool const has_free_slot = this->running < static_cast<std::size_t>(this->concurrency_limit());
-    return this->local_target.is_pacing(now) && has_free_slot ? this->local_target.pace_refusal(now) : without_limit;
+    return this->local_target.is_pacing(now) && has_free_slot ? this->local_target.pace_refusal(now)
+                                                              : without_limit;
 }
 
 void executor::set_listed_slots(int count) {
@@ -306,6 +308,7 @@
     if (this->context.is_evacuated()) {
         return this->refuse_evacuated(now);
     }
+    this->local_target.check_if_due(now);
     this->start_next_suspect(now);
     std::vector<std::uint64_t> late;
     auto const capacity = static_cast<std::size_t>(this->concurrency_limit());
@@ -328,9 +331,8 @@
     }
     bool const is_paced = code == result_code::target_limited || code == result_code::target_cold;
     double const retry_after_ms =
-        is_paced
-            ? this->local_target.record_refusal(this->queue.size(), now).milliseconds
-            : refusal_retry_after_ms;
+        is_paced ? this->local_target.record_refusal(this->queue.size(), now).milliseconds
+                 : refusal_retry_after_ms;
     this->finish(*work, {.result = outcome::not_run, .code = code, .retry_after_ms = retry_after_ms}, now);
 }
 
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -351,13 +351,14 @@
     }
     for (auto const& [target, state] : this->context.targets.restricted_targets(now)) {
         if (content.targets.size() < max_gossiped_targets) {
-            content.targets.push_back({.target = target,
-                                       .is_limited = state.rate_limit.has_value(),
-                                       .is_leaving = state.leaving,
-                                       .rate_limit = static_cast<std::uint32_t>(
-                                           std::llround(state.rate_limit.value_or(0) * rate_limit_unit)),
-                                       .age_ms = (now - state.updated).milliseconds,
-                                       .cold_ms = std::max(0.0, (state.cold_until - state.updated).milliseconds)});
+            content.targets.push_back(
+                {.target = target,
+                 .is_limited = state.rate_limit.has_value(),
+                 .is_leaving = state.leaving,
+                 .rate_limit =
+                     static_cast<std::uint32_t>(std::llround(state.rate_limit.value_or(0) * rate_limit_unit)),
+                 .age_ms = (now - state.updated).milliseconds,
+                 .cold_ms = std::max(0.0, (state.cold_until - state.updated).milliseconds)});
         }
     }
     return content;
--- a/libraries/node/own_target.cpp
+++ b/libraries/node/own_target.cpp
@@ -21,6 +21,8 @@
 constexpr duration freeze_span{1000};
 /// A target that was not heard of for this long may have started again meanwhile.
 constexpr duration silence_span{1000};
+/// A target that nobody has asked for in this span is not checked.
+constexpr duration demand_span{500};
 constexpr std::uint64_t check_id_flag = std::uint64_t{1} << 63U;
 constexpr double check_timeout_ms = 1000;
 /// A target that is taken as cold without having said so is asked only when its pace is about to delay
@@ -70,8 +72,8 @@
     }
 }
 
-void own_target::on_statement(target_statement const& statement, std::string const& instance,
-                              time_point sent, time_point now) {
+void own_target::on_statement(target_statement const& statement, std::string const& instance, time_point sent,
+                              time_point now) {
     if (instance != this->context.own_target_instance) {
         return; // A late answer of an earlier incarnation.
     }
@@ -119,11 +121,13 @@
 }
 
 void own_target::note_demand(time_point now) {
+    this->last_demand = now;
     bool const is_first = this->last_contact.milliseconds == 0;
     if (is_first || (this->outstanding == 0 && now - this->last_contact >= silence_span)) {
         this->last_contact = now;
         this->assume_cold(is_first ? "first_contact" : "silence", now);
     }
+    this->check_if_due(now);
 }
 
 void own_target::set_cold_cause(std::string_view reason, time_point now) {
@@ -164,7 +168,8 @@
 }
 
 void own_target::check_if_due(time_point now) {
-    bool const is_wanted = this->is_cold && !this->health_path.empty() &&
+    bool const has_demand = this->last_demand.milliseconds > 0 && now - this->last_demand < demand_span;
+    bool const is_wanted = this->is_cold && has_demand && !this->health_path.empty() &&
                            this->pacer.cold.tokens_at(now) < tokens_without_check &&
                            this->coldness.wants_check(now);
     if (!is_wanted || !this->may_send(now)) {
@@ -194,6 +199,12 @@
     this->check_id = 0;
     this->coldness.on_check_ended();
     bool const is_answered = answer.code == result_code::ok && answer.statement && answer.statement->cold_ms;
+    this->context.pending_effects.log(log_level::info, "target_checked",
+                                      {{"instance", this->check_instance},
+                                       {"code", std::string(caraway::describe(answer.code).name)},
+                                       {"status", std::to_string(answer.status)},
+                                       {"cold_ms", is_answered ? rounded(*answer.statement->cold_ms) : ""},
+                                       {"after_ms", rounded((now - this->check_sent).milliseconds)}});
     if (is_answered && this->check_instance == this->context.own_target_instance) {
         this->last_contact = now;
         this->coldness.on_stated(duration{*answer.statement->cold_ms}, this->check_sent, now);
@@ -287,7 +298,6 @@
         this->leaving = false;
     }
     this->update_cold(now);
-    this->check_if_due(now);
     if (now - this->logged_at >= log_interval) {
         std::erase_if(this->senders,
                       [now](auto const& sender) { return now - sender.second >= sender_lifetime; });
--- a/libraries/node/own_target.hpp
+++ b/libraries/node/own_target.hpp
@@ -1,5 +1,5 @@
-/// The own target as its only caller sees it: the limit that it states, whether it is cold, the pace that this
-/// requires, and what it was sent and refused meanwhile.
+/// The own target as its only caller sees it: the limit that it states, whether it is cold, the pace that
+/// this requires, and what it was sent and refused meanwhile.
 #pragma once
 
 #include "http/target_statement.hpp"
@@ -19,8 +19,8 @@
 
     /// Takes over what the configuration says of cold targets of the service.
     void apply_configuration(time_point now);
-    /// Forgets what the target stated when the host list names another incarnation of it. `cold_for`: how much
-    /// longer it was cold when its entry was written.
+    /// Forgets what the target stated when the host list names another incarnation of it. `cold_for`: how
+    /// much longer it was cold when its entry was written.
     void on_listed(target_id listed, duration cold_for, time_point now);
     /// Handles the statement of an answer to a request that was meant for `instance` and was sent at `sent`.
     void on_statement(target_statement const& statement, std::string const& instance, time_point sent,
@@ -32,14 +32,18 @@
     /// Takes over what other nodes know of the target, unless this process has an answer of it already.
     void adopt(target_id target, target_state const& state, time_point now);
 
-    /// The target may have become cold unnoticed: it is taken as cold until it has said that it is not, or for
-    /// the service's whole cold time. `reason` is for the operators' log.
+    /// The target may have become cold unnoticed: it is taken as cold until it has said that it is not, or
+    /// for the service's whole cold time. `reason` is for the operators' log.
     void assume_cold(std::string_view reason, time_point now);
     /// Called before anything else when the node handles an event: notices that the process stood still.
     void note_time(time_point now);
     /// Called when a request arrives, before `may_send`: notices that the target was not heard of for long.
     void note_demand(time_point now);
 
+    /// Sends a health check when the target should be asked and its pace allows it. To be called before
+    /// queued requests are sent, which would use up the pace.
+    void check_if_due(time_point now);
+
     bool may_send(time_point now) const { return this->pacer.may_send(now); }
     bool is_pacing(time_point now) const { return this->pacer.is_pacing(now); }
     /// Requests per second; only meaningful while requests are paced.
@@ -86,9 +90,6 @@
     void set_cold_cause(std::string_view reason, time_point now);
     /// Fits the pace to what is known of the target now, and logs a change.
     void update_cold(time_point now);
-    /// Sends a health check when the target should be asked and its pace allows it.
-    void check_if_due(time_point now);
-
     node_context& context;
     target_pace pacer;
     cold_state coldness;
@@ -96,13 +97,14 @@
     std::string cold_cause;
     time_point cold_since;
     std::string health_path;
-    std::uint64_t check_id{0}; ///< Of the health check under way; 0 for none.
+    std::uint64_t check_id{0};  ///< Of the health check under way; 0 for none.
     std::string check_instance; ///< The instance that it asks.
     time_point check_sent;
     std::uint64_t checks_sent{0};
     std::size_t outstanding{0}; ///< Requests at the target.
     time_point last_contact;    ///< When the target last had a request or answered one.
     time_point last_event;
+    time_point last_demand;   ///< When a request for the target last arrived.
     target_id incarnation{0}; ///< The last one that the host list named.
     bool is_known{false};     ///< The target has answered, or other nodes have said what it states.
     std::optional<double> stated_limit;
--- a/libraries/node/request_router.cpp
+++ b/libraries/node/request_router.cpp
@@ -534,9 +534,8 @@
         this->context.targets.record_refusal(this->selector.target_of(from), now);
     }
     // A host whose target has stated a limit refuses what the other targets of the service may still accept.
-    bool const others_have_room =
-        (answer.report.target_is_limited || answer.report.target_cold_ms > 0) &&
-        this->selector.has_target_with_room(selection_of(call), now);
+    bool const others_have_room = (answer.report.target_is_limited || answer.report.target_cold_ms > 0) &&
+                                  this->selector.has_target_with_room(selection_of(call), now);
     this->admission.record_reports(
         call.request, answer.admissions,
         {.service_to_skip = others_have_room ? call.service : "",
--- a/libraries/policy/cold_pace.cpp
+++ b/libraries/policy/cold_pace.cpp
@@ -61,12 +61,13 @@
     if (!this->is_configured() || this->stage == phase::cold) {
         return;
     }
-    auto const first = std::ranges::find_if(this->recent, [now](time_point sent) {
-        return now - sent < bound_span;
-    });
+    auto const first =
+        std::ranges::find_if(this->recent, [now](time_point sent) { return now - sent < bound_span; });
     auto const sent = static_cast<double>(this->recent.end() - first);
     bool const knows_all_sent = now - this->known_since >= bound_span;
-    double const unused = this->plan.bound - this->plan.pace - sent;
+    // Requests from before count for as long as the span of the bound.
+    double const unused =
+        std::max(this->plan.bound - this->plan.pace - sent, -this->plan.pace * bound_span.seconds());
     this->tokens = std::min(knows_all_sent ? this->plan.capacity : 0.0, unused);
     this->refilled_at = now;
     this->stage = phase::cold;
@@ -95,9 +96,10 @@
 
 double cold_pace::tokens_at(time_point now) const {
     double const minted = this->pace(now) * std::max(duration{0}, now - this->refilled_at).seconds();
-    double const capacity = this->stage == phase::cold
-                                ? this->plan.capacity
-                                : std::max(this->plan.capacity, this->pace(now) * ending_saved_span.seconds());
+    double const capacity =
+        this->stage == phase::cold
+            ? this->plan.capacity
+            : std::max(this->plan.capacity, this->pace(now) * ending_saved_span.seconds());
     return std::min(capacity, this->tokens + minted);
 }
 
--- a/libraries/policy/cold_state.hpp
+++ b/libraries/policy/cold_state.hpp
@@ -51,7 +51,7 @@
     bool is_assumed{false};
     bool is_lost{false};
     bool was_stated_cold{false}; ///< By the target itself, since the newest evidence.
-    duration listed{0}; ///< The remaining time in the list in force.
+    duration listed{0};          ///< The remaining time in the list in force.
     bool is_checking{false};
     time_point next_check;
     duration check_delay{0};
--- a/libraries/policy/target_state_table.hpp
+++ b/libraries/policy/target_state_table.hpp
@@ -27,7 +27,7 @@
     /// Hosts that sent requests to the target lately; 0 if unknown.
     std::uint32_t sender_count{0};
     time_point cold_until; ///< The target is cold until then.
-    time_point updated; ///< When the host beside the target reported it.
+    time_point updated;    ///< When the host beside the target reported it.
 };
 
 class target_state_table {
--- a/tests/node/simulated_fleet.cpp
+++ b/tests/node/simulated_fleet.cpp
@@ -14,6 +14,7 @@
 constexpr duration core_tick_interval{4};
 constexpr duration link_delay{1};
 constexpr std::uint16_t link_port = 7000;
+constexpr std::string_view health_path = "/health";
 constexpr std::string_view egress_prefix = "below-";
 
 std::string link_address(std::string const& host) {
@@ -36,6 +37,7 @@
     settings options;
     fleet_plan::target_service service;
     target_statement statement;
+    time_point cold_until;
     std::unique_ptr<node_core> core;
     std::map<connection_id, link_end> links;
     connection_id next_accepted{connection_id{1} << 63U};
@@ -112,9 +114,11 @@
 
 void simulated_fleet::start(node& entry) {
     entry.incarnation = this->next_incarnation++;
-    entry.core = std::make_unique<node_core>(
-        entry.options, platform_traits{.has_monotonic_reads = true, .quota_tolerance = this->plan.tolerance},
-        entry.incarnation, lease_timing{}, this->clock);
+    entry.core = std::make_unique<node_core>(entry.options,
+                                             platform_traits{.has_monotonic_reads = true,
+                                                             .quota_tolerance = this->plan.tolerance,
+                                                             .cold = this->plan.cold},
+                                             entry.incarnation, lease_timing{}, this->clock);
     entry.next_tick = this->clock;
     entry.paused_until = {};
     entry.stops_at.reset();
@@ -333,7 +337,8 @@
     if (found == entry.running.end()) {
         return;
     }
-    this->target_runs.at(found->second).ended = this->clock;
+    auto const found_index = found->second;
+    this->target_runs.at(found_index).ended = this->clock;
     entry.running.erase(found);
     std::uniform_real_distribution<double> share(0, 1);
     bool const is_lost = share(this->random) < entry.service.lost_answer_share;
@@ -346,6 +351,9 @@
         answer.result = outcome::ran;
         answer.status = 200;
         answer.statement = entry.statement;
+        if (this->target_runs.at(found_index).path == health_path) {
+            answer.statement->cold_ms = std::max(duration{0}, entry.cold_until - this->clock).milliseconds;
+        }
     }
     auto shared = std::make_shared<target_answer>(std::move(answer));
     this->pending_deliveries.emplace(
@@ -484,6 +492,10 @@
     this->nodes.at(host)->statement = statement;
 }
 
+void simulated_fleet::set_target_cold(std::string const& host, duration span) {
+    this->nodes.at(host)->cold_until = this->clock + span;
+}
+
 std::size_t simulated_fleet::runs_of(std::string const& request_id) const {
     auto const& path = this->caller_results.at(request_id).path;
     return static_cast<std::size_t>(std::ranges::count_if(this->target_runs, [&](target_run const& run) {
--- a/tests/node/simulated_fleet.hpp
+++ b/tests/node/simulated_fleet.hpp
@@ -35,6 +35,7 @@
     duration delay_between_domains{3};
     double drain_ms{5000};
     rate_tolerance tolerance;
+    cold_tolerance cold;
     call_correlation calls{call_correlation::token};
     std::uint64_t seed{1};
 };
@@ -95,6 +96,8 @@
     void terminate(std::string const& host);
     /// What the host's target states in its answers from now on. It enforces nothing by itself.
     void set_target_statement(std::string const& host, target_statement statement);
+    /// The host's target is cold for the span; only health checks tell. It enforces nothing by itself.
+    void set_target_cold(std::string const& host, duration span);
     /// Serves a new host list to every live host that is not partitioned.
     void publish_hosts(std::vector<listed_host> hosts);
     /// The same with these evacuated failure domains in place of the former ones.
