--- a/libraries/node/evacuation_control.cpp
+++ b/libraries/node/evacuation_control.cpp
@@ -17,6 +17,10 @@
         if (is_own && change.is_evacuated) {
             this->local_executor.refuse_evacuated(now);
         }
+        if (is_own && !change.is_evacuated) {
+            // Targets may have become cold while they got nothing.
+            this->local_executor.target().assume_cold("domain_taken_back", now);
+        }
         if (!change.is_evacuated) {
             // Its targets have run nothing for a while, so that their load rises like that of new ones.
             for (auto const& host : this->context.peers.hosts_in(change.domain)) {
