--- a/tests/http/target_client_test.cpp
+++ b/tests/http/target_client_test.cpp
@@ -105,3 +105,37 @@
     CHECK(answer.body == "late");
     CHECK(answer.result == outcome::ran);
 }
+
+// Answers to health checks have neither the request's id nor the field that every other answer has.
+TEST_CASE("a health check tells how long the target is cold, and nothing where another instance answers") {
+    auto const port = next_port();
+    std::atomic<bool> is_cold{true};
+    standins::http_service target("127.0.0.1", port,
+                                  [&](standins::http_request) -> asio::awaitable<standins::http_response> {
+                                      auto response = standins::make_response(200, "");
+                                      response.set("Instance", "i-1");
+                                      if (is_cold) {
+                                          response.set("Cold", "1500");
+                                      }
+                                      co_return response;
+                                  });
+    sequential_client client(port, {.integrity = "Seal",
+                                    .target_cold = "Cold",
+                                    .answering_instance = "Instance",
+                                    .checks_request_id = true});
+    target_request const check{
+        .method = "GET", .path = "/health", .timeout_ms = 1000, .instance = "i-1", .is_health_check = true};
+    auto const cold = client.send(check);
+    CHECK(cold.code == result_code::ok);
+    REQUIRE(cold.statement);
+    CHECK(cold.statement->cold_ms == 1500.0);
+    is_cold = false;
+    auto const warm = client.send(check);
+    REQUIRE(warm.statement);
+    CHECK(warm.statement->cold_ms == 0.0);
+    auto other = check;
+    other.instance = "i-2";
+    auto const replaced = client.send(other);
+    CHECK(replaced.code == result_code::target_replaced);
+    CHECK_FALSE(replaced.statement);
+}
--- a/tests/http/target_statement_test.cpp
+++ b/tests/http/target_statement_test.cpp
@@ -54,3 +54,17 @@
     CHECK_FALSE(read({}, "0").leaving);
     CHECK_FALSE(read({}).leaving);
 }
+
+TEST_CASE("a remaining cold time that is negative or no number says nothing") {
+    auto const cold_ms = [](std::string const& value) {
+        boost::beast::http::fields header;
+        header.set("Cold", value);
+        return read_target_statement({.target_cold = "Cold"}, header).cold_ms;
+    };
+    CHECK(cold_ms("2785") == 2785.0);
+    CHECK(cold_ms("0") == 0.0);
+    for (auto const* value : {"-1", "nan", "", "soon"}) {
+        CAPTURE(value);
+        CHECK_FALSE(cold_ms(value));
+    }
+}
--- a/tests/platform/registry_documents_test.cpp
+++ b/tests/platform/registry_documents_test.cpp
@@ -49,8 +49,50 @@
       "tenants":[{"name":"parish","api-keys":["k1","k2"],"priority":1,"rate-per-s":72,"burst":10},
                  {"name":"free","api-keys":["k3"]}]})";
 
+target_entry warming(double remaining_ms, double read_at) {
+    target_entry entry;
+    entry.listed.instance = "i-1";
+    entry.listed.warm_up_ms = remaining_ms;
+    entry.warming_since = {read_at};
+    return entry;
+}
+
 } // namespace
 
+// Each heartbeat has a smaller figure; a target that is cold again has a greater one, maybe the same as
+// before.
+TEST_CASE("the remaining time of a cold target changes the list when it ends or begins anew only") {
+    auto const kept_after = [](double first, double then, double later_ms) {
+        auto entry = warming(then, 1000 + later_ms);
+        keep_warm_up(entry, warming(first, 1000));
+        return entry.listed.warm_up_ms;
+    };
+    CHECK(kept_after(3000, 1500, 1500) == 3000);
+    CHECK(kept_after(3000, 1900, 1500) == 3000);
+    CHECK(kept_after(3000, 0, 3000) == 0);
+    CHECK(kept_after(0, 3000, 3000) == 3000);
+    CHECK(kept_after(3000, 2900, 3000) == 2900);
+    CHECK(kept_after(3000, 3000, 2000) != 3000);
+}
+
+TEST_CASE("cold rate and time of a service are taken over, and figures that make no sense switch it off") {
+    auto const service_of = [](std::string const& fields) {
+        auto const text = R"({"version":1,"services":[{"name":"front")" + fields + "}]}";
+        return *configuration_of(text)->find_service("front");
+    };
+    auto const cold = service_of(R"(,"cold-per-s":12.0,"cold-start-s":3.0,"health-path":"/health")");
+    CHECK(cold.cold_rate == 12);
+    CHECK(cold.cold_ms == 3000);
+    CHECK(cold.health_path == "/health");
+    for (auto const* none :
+         {"", R"(,"cold-per-s":0,"cold-start-s":3)", R"(,"cold-per-s":-4,"cold-start-s":3)",
+          R"(,"cold-per-s":"12","cold-start-s":3)"}) {
+        CHECK(service_of(none).cold_rate == 0);
+    }
+    CHECK(service_of(R"(,"cold-per-s":12,"cold-start-s":-3)").cold_ms == 0);
+    CHECK(service_of(R"(,"cold-per-s":12,"cold-start-s":1e300,"health-path":7)").cold_ms == 600'000);
+}
+
 TEST_CASE("a target's entry becomes a host named by its address, with instance, slots and state") {
     auto const entry = read(entry_text("draining", R"(,"born":1700000000000)"));
     REQUIRE(entry);
