policy, node, http: Place requests by expected wait, distance and failures

Hosts were chosen by requests in flight over the limit, and work left the domain by a fixed margin for any other domain, mostly in another region. With control.placement = "wait" ("regional": in a fleet of several regions, which the template sets) the score is the expected wait, the measured time on the way, a price for bytes and the excess of failed answers; the host beside a target measures these, the load field included. Work that waits where its sender knows a better host is passed on once before it runs (passed_on, 320). A lost request is repeated only while it makes its objective. A request waits up to 4 ms for a connection in use.

--- a/libraries/base/result_code.cpp
+++ b/libraries/base/result_code.cpp
@@ -86,6 +86,9 @@
      "The target has just started or may be cold, and others use up what it bears meanwhile; nothing was "
      "run.",
      "Wait for the time in Retry-After; look for 'cold_ms' of the host's target in 'status'."},
+    {passed_on, 503, "passed_on",
+     "The host had a longer queue than another host of the service; nothing was run.",
+     "Wait for the time in Retry-After; look for hosts whose 'expected_wait_ms' in 'status' stays high."},
     {configuration_syntax, 0, "configuration_syntax", "The file is not well-formed TOML.",
      "Mend the line that the message names."},
     {configuration_unknown_name, 0, "configuration_unknown_name", "No setting has this name.",
--- a/libraries/base/result_code.hpp
+++ b/libraries/base/result_code.hpp
@@ -57,6 +57,7 @@
     target_limited = 317,
     domain_evacuated = 318,
     target_cold = 319,
+    passed_on = 320,
 
     configuration_syntax = 400,
     configuration_unknown_name = 401,
--- a/libraries/config/schema.cpp
+++ b/libraries/config/schema.cpp
@@ -42,7 +42,8 @@
      "Whether a non-idempotent request needs a ticket; without one it is sent once, and again only when the "
      "executing host says that it has not run."},
     {"routes", "latency_objective_ms", number, 1, 600'000, false, "ms",
-     "An answer after this is worth less to the caller; read, not used for a decision yet."},
+     "An answer after this is worth less to the caller; a lost request is repeated only while its answer can "
+     "still come before."},
     {"routes", "retry_allowance", number, 0, 10, false, "attempts",
      "Further attempts for the whole call tree."},
     {"routes", "deadline_ms", number, 1, 600'000, false, "ms", "Longest time a request may take."},
@@ -55,6 +56,9 @@
     {"node", "failure_domain", text, 1, max_name, true, "", "The host's failure domain."},
     {"node", "failure_domains", text_list, 0, 1000, false, "",
      "All failure domains, the same on all nodes. With it, small organisations have fewer rate pools."},
+    {"node", "region", text, 0, max_name, false, "", "The region of the host's failure domain."},
+    {"node", "failure_domain_regions", text_list, 0, 1000, false, "DOMAIN=REGION",
+     "The region of each failure domain; a domain that is not named is in the own region."},
     {"node", "service", text, 1, max_name, true, "", "The service that this host's target runs."},
     {"addresses", "callers", text, 3, max_name, true, "IP:PORT", "Where callers connect."},
     {"addresses", "egress", text, 3, max_name, false, "IP:PORT",
@@ -88,6 +92,9 @@
     {"control", "rate_shards", number, 1, 16, false, "pools",
      "Pools into which a failure domain's part of each rate is split; the same on all nodes."},
     {"control", "mode", text, 1, max_name, false, "", "full, or for experiments: off, per_host."},
+    {"control", "placement", text, 1, max_name, false, "",
+     "What hosts are chosen by: load; wait: expected wait and distance; regional: wait in several "
+     "regions, else load."},
     {"telemetry", "log_level", text, 1, max_name, false, "", "trace, debug, info, warn or error."},
     {"telemetry", "span_file_descriptor", number, 0, 1023, false, "",
      "Spans as OTLP/JSON lines to this descriptor."},
--- a/libraries/config/settings.cpp
+++ b/libraries/config/settings.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr std::array<std::string_view, 3> mode_names{"full", "per_host", "off"};
+constexpr std::array<std::string_view, 3> placement_names{"load", "wait", "regional"};
+/// The place of "regional" in `placement_names`: by wait in a fleet of several regions, else by load.
+constexpr std::size_t regional_placement = 2;
 constexpr std::array<std::string_view, 2> call_correlation_names{"token", "deadline"};
 constexpr std::array<std::string_view, 5> log_levels{"trace", "debug", "info", "warn", "error"};
 constexpr std::size_t seed_part_count = 4;
@@ -71,6 +74,25 @@
     return seed_peer{parts[0], parts[1], parts[2], parts[3]};
 }
 
+result<std::map<std::string, std::string>> parse_domain_regions(located_value const& entries) {
+    std::map<std::string, std::string> regions;
+    for (auto const& text : std::get<std::vector<std::string>>(entries.value)) {
+        auto const separator = text.find('=');
+        if (separator == 0 || separator == std::string::npos) {
+            return fail({result_code::configuration_out_of_bounds, "'" + text + "' is not DOMAIN=REGION.",
+                         entries.file, entries.line});
+        }
+        regions[text.substr(0, separator)] = text.substr(separator + 1);
+    }
+    return regions;
+}
+
+bool has_several_regions(settings const& options) {
+    return std::ranges::any_of(options.domain_regions, [&options](auto const& entry) {
+        return entry.second != options.domain_regions.begin()->second;
+    });
+}
+
 result<void> require_sections(item_set& items) {
     for (auto const& entry : settings_schema()) {
         if (entry.required) {
@@ -138,6 +160,10 @@
     if (auto const* domains = reader.find("node", "failure_domains")) {
         parsed.failure_domains = std::get<std::vector<std::string>>(domains->value);
     }
+    parsed.region = reader.get_or<std::string>("node", "region", "");
+    if (auto const* regions = reader.find("node", "failure_domain_regions")) {
+        BOOST_LEAF_ASSIGN(parsed.domain_regions, parse_domain_regions(*regions));
+    }
     if (auto const* seeds = reader.find("link", "peers")) {
         for (auto const& text : std::get<std::vector<std::string>>(seeds->value)) {
             BOOST_LEAF_AUTO(seed, parse_seed(text, *seeds));
@@ -164,6 +190,12 @@
     BOOST_LEAF_AUTO(mode, parse_choice(mode_names, reader.get_or<std::string>("control", "mode", "full"),
                                        "control.mode"));
     parsed.mode = static_cast<control_mode>(mode);
+    BOOST_LEAF_AUTO(placement,
+                    parse_choice(placement_names, reader.get_or<std::string>("control", "placement", "load"),
+                                 "control.placement"));
+    parsed.placement = placement == regional_placement
+                           ? (has_several_regions(parsed) ? placement_rule::wait : placement_rule::load)
+                           : static_cast<placement_rule>(placement);
     parsed.log_level = reader.get_or<std::string>("telemetry", "log_level", parsed.log_level);
     BOOST_LEAF_CHECK(parse_choice(log_levels, parsed.log_level, "telemetry.log_level"));
     parsed.span_file_descriptor = static_cast<int>(
--- a/libraries/config/settings.hpp
+++ b/libraries/config/settings.hpp
@@ -3,6 +3,7 @@
 
 #include "config/item_set.hpp"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -25,6 +26,12 @@
 
 std::string_view name_of(control_mode value);
 
+/// What the executing host of a request is chosen by.
+enum class placement_rule : std::uint8_t {
+    load, ///< Requests in flight over the limit of the host.
+    wait, ///< Expected wait, distance and failures; work that waits may be passed on to another host.
+};
+
 /// A peer that is known before the first host list is read.
 struct seed_peer {
     std::string host;
@@ -45,6 +52,9 @@
     std::string host;
     std::string failure_domain;
     std::vector<std::string> failure_domains; ///< All of the fleet's; empty if not known.
+    std::string region; ///< Of the own failure domain; empty if the fleet has one region.
+    /// Region of each failure domain; domains that are not named are in the own region.
+    std::map<std::string, std::string> domain_regions;
     std::string service;
     endpoint callers;
     std::optional<endpoint> egress; ///< Where the own target sends its calls; if empty, to `callers`.
@@ -67,6 +77,7 @@
     std::uint8_t rate_shards{4}; ///< Pools into which a failure domain's part of each rate is split.
     call_correlation egress_correlation{call_correlation::token};
     control_mode mode{control_mode::full};
+    placement_rule placement{placement_rule::load};
     std::string log_level{"info"};
     int span_file_descriptor{-1}; ///< -1 when spans are not written.
     std::string span_url;
--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -4,6 +4,7 @@
 #include "http/header_rules.hpp"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -33,6 +34,8 @@
 /// Answers to earlier requests that are skipped before the connection is given up.
 constexpr int max_stray_answers = 4;
 constexpr std::size_t max_idle_connections = 4096;
+/// With fewer calls in progress, a request opens a connection at once: none is likely to become free in time.
+constexpr std::size_t min_calls_to_wait = 4;
 
 } // namespace
 
@@ -58,14 +61,64 @@
 class target_call : public std::enable_shared_from_this<target_call> {
 public:
     target_call(target_client& owner, target_request&& new_request)
-        : client(owner), request(std::move(new_request)) {}
+        : client(owner), request(std::move(new_request)), wait_timer(owner.context) {}
 
     void start() {
-        this->connection = this->client.acquire_idle(this->request.idempotent);
+        if (this->try_reuse()) {
+            return;
+        }
+        if (!this->client.expects_free_connection()) {
+            return this->connect();
+        }
+        this->is_waiting = true;
+        this->client.waiting_calls.push_back(this->weak_from_this());
+        auto const longest = this->client.options.max_connection_wait;
+        this->wait_timer.expires_after(
+            std::chrono::microseconds(static_cast<std::int64_t>(longest.milliseconds * 1000)));
+        this->wait_timer.async_wait([self = this->shared_from_this()](boost::system::error_code) {
+            if (std::exchange(self->is_waiting, false)) {
+                self->client.start_waiting_calls();
+                self->connect();
+            }
+        });
+    }
+
+    /// Starts a call that waits if there is an idle connection. False when it still waits.
+    bool resume() {
+        if (!this->is_waiting) {
+            return true;
+        }
+        if (!this->try_reuse()) {
+            return false;
+        }
+        this->is_waiting = false;
+        this->wait_timer.cancel();
+        return true;
+    }
+
+    void cancel() {
+        this->was_cancelled = true;
+        if (std::exchange(this->is_waiting, false)) {
+            this->wait_timer.cancel();
+            return this->finish(outcome::not_run, result_code::cancelled);
+        }
         if (this->connection != nullptr) {
-            this->set_timeout(this->request.timeout_ms);
-            return this->write();
+            this->connection->stream.cancel();
+        }
+    }
+
+private:
+    bool try_reuse() {
+        this->connection = this->client.acquire_idle(this->request.idempotent);
+        if (this->connection == nullptr) {
+            return false;
         }
+        this->set_timeout(this->request.timeout_ms);
+        this->write();
+        return true;
+    }
+
+    void connect() {
         this->connection = std::make_unique<target_connection>(this->client.context);
         this->set_timeout(std::min(this->request.timeout_ms, connect_timeout_ms));
         this->connection->stream.async_connect(
@@ -83,14 +136,6 @@
             });
     }
 
-    void cancel() {
-        this->was_cancelled = true;
-        if (this->connection != nullptr) {
-            this->connection->stream.cancel();
-        }
-    }
-
-private:
     void set_timeout(double limit_ms) {
         auto const limit = std::chrono::microseconds(static_cast<std::int64_t>(limit_ms * 1000));
         this->connection->stream.expires_after(limit);
@@ -326,6 +371,8 @@
     std::unique_ptr<target_connection> connection;
     http::request<http::string_body> outgoing;
     std::optional<http::response_parser<http::string_body>> parser;
+    asio::steady_timer wait_timer;
+    bool is_waiting{false}; ///< For a connection that another call uses.
     bool was_cancelled{false};
     int stray_answers{0}; ///< Skipped answers to other requests.
 };
@@ -381,11 +428,15 @@
 std::unique_ptr<target_connection> target_client::acquire_idle(bool idempotent) {
     auto const now = monotonic_clock::now();
     while (!this->idle_connections.empty()) {
+        auto const& newest = *this->idle_connections.back();
+        auto const age = now - newest.idle_since;
+        bool const is_sound = age < newest.idle_limit * idempotent_reuse_fraction;
+        if (is_sound && !idempotent && age >= newest.idle_limit * non_idempotent_reuse_fraction) {
+            return nullptr; // Idempotent requests may still use it.
+        }
         auto connection = std::move(this->idle_connections.back());
         this->idle_connections.pop_back();
-        auto const limit =
-            connection->idle_limit * (idempotent ? idempotent_reuse_fraction : non_idempotent_reuse_fraction);
-        if (now - connection->idle_since < limit && connection->is_usable()) {
+        if (is_sound && connection->is_usable()) {
             return connection;
         }
     }
@@ -398,6 +449,24 @@
     if (this->idle_connections.size() < max_idle_connections) {
         this->idle_connections.push_back(std::move(connection));
     }
+    this->start_waiting_calls();
+}
+
+bool target_client::expects_free_connection() const {
+    bool const may_wait = this->options.max_connection_wait.milliseconds > 0;
+    std::size_t const in_use =
+        this->calls.size() - std::min(this->calls.size(), this->waiting_calls.size() + 1);
+    return may_wait && in_use >= min_calls_to_wait && this->waiting_calls.size() < in_use;
+}
+
+void target_client::start_waiting_calls() {
+    while (!this->waiting_calls.empty()) {
+        auto const next = this->waiting_calls.front().lock();
+        if (next != nullptr && !next->resume()) {
+            return;
+        }
+        this->waiting_calls.pop_front();
+    }
 }
 
 } // namespace caraway
--- a/libraries/http/target_client.hpp
+++ b/libraries/http/target_client.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "base/bounded_queue.hpp"
+#include "base/clock.hpp"
 #include "base/event_loop_thread.hpp"
 #include "base/header_field.hpp"
 #include "base/result_code.hpp"
@@ -14,6 +15,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <atomic>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -62,6 +64,8 @@
     std::size_t max_body{1'048'576};
     std::size_t max_header{16'384};
     std::size_t max_requests{8192}; ///< Capacity of the queue to the client's loop.
+    /// How long a request waits for a connection that another request uses before it opens one.
+    duration max_connection_wait{0};
     http_dialect dialect;
 };
 
@@ -99,6 +103,9 @@
     /// request the connection must be further from the target's idle limit.
     std::unique_ptr<target_connection> acquire_idle(bool idempotent);
     void keep_for_reuse(std::unique_ptr<target_connection> connection);
+    /// Whether a connection in use is likely to become free within the time that a request may wait for one.
+    bool expects_free_connection() const;
+    void start_waiting_calls();
 
     target_client_settings options;
     std::function<void(target_answer&&)> sink;
@@ -107,6 +114,7 @@
     bounded_queue<command> commands;
     std::unordered_map<std::uint64_t, std::weak_ptr<target_call>> calls;
     std::vector<std::unique_ptr<target_connection>> idle_connections;
+    std::deque<std::weak_ptr<target_call>> waiting_calls; ///< For a connection that another call uses.
 };
 
 } // namespace caraway
--- a/libraries/link/message.hpp
+++ b/libraries/link/message.hpp
@@ -71,13 +71,16 @@
     std::uint32_t target_work_time_percent{100};
     /// How long a new request waits for a slot of the target, in milliseconds.
     std::uint32_t expected_wait_ms{0};
+    std::uint32_t target_request_ms{0}; ///< How long a request holds a slot of the target; 0 if unknown.
+    std::uint32_t target_failure_permille{0}; ///< Failed answers among its latest, in thousandths.
 
     template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->incarnation, this->ticket_window, this->in_flight, this->limit, this->leaving,
                 this->serving, this->target, this->target_is_limited, this->target_rate_limit,
                 this->target_is_leaving, this->target_senders, this->target_cold_ms,
-                this->target_work_time_percent, this->expected_wait_ms);
+                this->target_work_time_percent, this->expected_wait_ms, this->target_request_ms,
+                this->target_failure_permille);
     }
     bool operator==(host_report const&) const = default;
 };
@@ -134,6 +137,9 @@
     std::uint8_t charged_priority{0};
     /// Offered requests that this one stands for: the reciprocal of the fraction admitted at its entry node.
     double offered_weight{1};
+    /// The host may refuse the request as `passed_on`, before it runs, when the request would wait longer
+    /// than this: the sender then knows a better host. In milliseconds; 0 if it must not be passed on.
+    std::uint32_t pass_on_above_ms{0};
 
     template <typename Visitor>
     void visit(Visitor&& visitor) {
@@ -142,7 +148,7 @@
                 this->depth, this->allowance, this->ticket, this->trace_id, this->parent_span,
                 this->authority, this->instance, this->calling_service, this->idempotent,
                 this->is_nested_call, this->charged_organisation, this->charged_priority,
-                this->offered_weight);
+                this->offered_weight, this->pass_on_above_ms);
     }
 };
 
@@ -184,11 +190,13 @@
     std::vector<admission_report> admissions;
     host_report report;
     std::vector<service_cost> costs; ///< Of one request of the call's route; empty if not known.
+    double held_ms{0};               ///< From the arrival of the request at the sender to this answer.
 
     template <typename Visitor>
     void visit(Visitor&& visitor) {
         visitor(this->call_id, this->result, this->code, this->status, this->headers, this->body,
-                this->retry_after_ms, this->allowance_left, this->admissions, this->report, this->costs);
+                this->retry_after_ms, this->allowance_left, this->admissions, this->report, this->costs,
+                this->held_ms);
     }
 };
 
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -18,7 +18,14 @@
 /// limit where a run takes about ten milliseconds; where runs take longer, the age limit applies first.
 constexpr double nested_queue_places_per_slot = 10.0;
 constexpr std::size_t min_queue_capacity = 8;
+/// HTTP status codes from here on are server errors.
+constexpr std::uint16_t first_server_error_status = 500;
 constexpr double refusal_retry_after_ms = 500;
+constexpr double max_reported_ms = 60'000;
+/// A request that ran for this multiple of the usual time until its deadline counts as a failure of the
+/// target.
+constexpr double overdue_factor = 3;
+constexpr double permille = 1000;
 /// The target's timeout exceeds the caller's deadline by this much, so that the deadline always ends a
 /// request first.
 constexpr double target_grace_ms = 50;
@@ -52,6 +59,45 @@
     this->limiter.set_slots(this->slots);
 }
 
+own_load executor::load_at_target() const {
+    return {.running = this->running, .queued = this->queue.size(), .limit = this->concurrency_limit()};
+}
+
+void executor::describe_load(host_report& report, time_point now) const {
+    auto const whole = [](double value) {
+        return static_cast<std::uint32_t>(std::llround(std::clamp(value, 0.0, max_reported_ms)));
+    };
+    auto const& estimate = this->load_estimate;
+    report.expected_wait_ms = whole(estimate.expected_wait(this->load_at_target(), now).milliseconds);
+    report.target_work_time_percent = whole(estimate.work_time_percent(now));
+    report.target_request_ms = whole(estimate.request_time(now).milliseconds);
+    report.target_failure_permille = whole(estimate.failure_fraction(now) * permille);
+}
+
+void executor::pass_on_waiting(time_point now) {
+    if (!this->context.places_by_wait() || this->queue.size() == 0) {
+        return;
+    }
+    std::vector<std::pair<std::uint64_t, double>> candidates; // Ids with the longest wait in milliseconds.
+    for (auto const& [id, work] : this->executions) {
+        bool const may_pass = work.stage == execution::state::queued && !work.is_suspect &&
+                              work.request.pass_on_above_ms > 0 && work.request.ticket.empty();
+        if (may_pass) {
+            candidates.emplace_back(id, work.request.pass_on_above_ms);
+        }
+    }
+    std::ranges::sort(candidates, {}, &std::pair<std::uint64_t, double>::second);
+    for (auto const& [id, longest] : candidates) {
+        auto const ahead = this->queue.size() - 1;
+        auto const wait = this->load_estimate.wait_behind(ahead, this->load_at_target(), now).milliseconds;
+        if (wait <= longest) {
+            break;
+        }
+        this->queue.remove(id);
+        this->refuse(id, result_code::passed_on, now);
+    }
+}
+
 void executor::update_queue_capacity(time_point now) {
     auto const capacity = [this, now](double places_per_slot, bool is_nested) {
         auto const by_slots =
@@ -241,6 +287,14 @@
     if (this->would_expire_in_queue(queue_entry, now)) {
         return this->refuse(id, this->local_target.pace_refusal(now), now);
     }
+    bool const passes_on = this->context.places_by_wait() && queue_entry.deadline > now &&
+                           entry->second.request.pass_on_above_ms > 0 &&
+                           entry->second.request.ticket.empty() &&
+                           this->load_estimate.expected_wait(this->load_at_target(), now).milliseconds >
+                               entry->second.request.pass_on_above_ms;
+    if (passes_on) {
+        return this->refuse(id, result_code::passed_on, now);
+    }
     this->update_queue_capacity(now);
     auto const evicted = this->queue.push(queue_entry);
     if (evicted != 0) {
@@ -257,6 +311,7 @@
         this->by_token[work.context_token] = work.id;
     }
     work.span_id = trace_context::new_span_id();
+    this->load_estimate.record_sent(this->running, now);
     ++this->running;
     this->local_target.record_sent(work.request.depth > 0 || work.request.is_nested_call, now);
     this->context.node_metrics.observe(latency_metric::queue, now - work.arrived);
@@ -359,6 +414,7 @@
     answer.allowance_left = static_cast<std::uint8_t>(std::max(0, work.allowance.remaining()));
     answer.admissions = this->admission_reports(work);
     answer.report = this->context.make_own_report();
+    answer.held_ms = (now - work.arrived).milliseconds;
     for (auto const& waiter : work.waiters) {
         answer.call_id = waiter.call_id;
         this->context.send_to_host(waiter.host, answer, now, waiter.connection);
@@ -426,6 +482,7 @@
     this->context.node_metrics.observe(latency_metric::target, elapsed);
     auto const nested = work->nested_call_time +
                         (work->active_nested_calls > 0 ? now - work->nested_calls_since : duration{0});
+    this->record_load(answer, std::max(duration{0.01}, elapsed - nested), elapsed, work->deadline, now);
     if (answer.result == outcome::ran) {
         // Time spent in nested calls is excluded: a slow downstream service must not lower this limit.
         auto const own_time = std::max(duration{0.01}, elapsed - nested);
@@ -453,6 +510,30 @@
     this->start_queued(now);
 }
 
+void executor::record_load(target_answer const& answer, duration own_time, duration held_time,
+                           time_point deadline, time_point now) {
+    if (this->estimated_target != this->context.own_target_id) {
+        this->estimated_target = this->context.own_target_id;
+        this->load_estimate.reset();
+    }
+    if (answer.statement && answer.statement->load) {
+        auto const& load = *answer.statement->load;
+        this->load_estimate.record_stated({.present = load.running + load.waiting,
+                                           .slots = load.slots,
+                                           .work_time_percent = load.work_time_percent},
+                                          this->running, now);
+    }
+    // A cancellation says something of the target only if the request ran for unusually long.
+    bool const is_overdue =
+        now >= deadline && held_time > this->load_estimate.request_time(now) * overdue_factor;
+    bool const is_cancelled = answer.code == result_code::cancelled && !is_overdue;
+    if (is_cancelled || answer.code == result_code::target_replaced) {
+        return;
+    }
+    bool const has_failed = answer.result != outcome::ran || answer.status >= first_server_error_status;
+    this->load_estimate.record_answer(own_time, held_time, has_failed, now);
+}
+
 void executor::record_target_crash(std::uint64_t crashed_request, time_point now) {
     std::vector<std::uint64_t> blamed;
     auto const& work = this->executions.at(crashed_request);
@@ -549,6 +630,7 @@
         this->refuse(id, this->queue_refusal(result_code::queue_timeout, now), now);
     }
     this->start_queued(now);
+    this->pass_on_waiting(now);
     this->local_target.run_periodic_tasks(now);
     this->controller.record_backlog(this->queue.size() > 0);
     this->controller.update_if_due(now);
--- a/libraries/node/executor.hpp
+++ b/libraries/node/executor.hpp
@@ -6,6 +6,7 @@
 #include "node/own_target.hpp"
 #include "policy/admission_controller.hpp"
 #include "policy/concurrency_limiter.hpp"
+#include "policy/target_load_estimate.hpp"
 #include "policy/ticket_store.hpp"
 #include "policy/work_queue.hpp"
 
@@ -110,6 +111,8 @@
     std::size_t execution_count() const { return this->executions.size(); }
     std::size_t stored_ticket_count() const { return this->tickets.size(); }
     int concurrency_limit() const;
+    /// Adds how long requests take and wait at the own target to a report of this node.
+    void describe_load(host_report& report, time_point now) const;
     own_target const& target() const { return this->local_target; }
     admission_controller const& admission() const { return this->controller; }
 
@@ -123,6 +126,9 @@
     void update_queue_capacity(time_point now);
     /// Refuses all queued work, which another host may still run.
     void refuse_queued(result_code code, time_point now);
+    /// Refuses queued work that would wait longer than its sender expects it to wait elsewhere.
+    void pass_on_waiting(time_point now);
+    own_load load_at_target() const;
     /// Why a request that found no place in the queue, or waited there for too long, is refused.
     result_code queue_refusal(result_code without_limit, time_point now) const;
     /// Ends a stored execution without running it.
@@ -131,6 +137,8 @@
     void refuse_new(execution& work, result_code code, outcome result, time_point now);
     void finish(execution& work, answer_message answer, time_point now);
     void send_answer(execution const& work, answer_message answer, time_point now);
+    void record_load(target_answer const& answer, duration own_time, duration held_time, time_point deadline,
+                     time_point now);
     void record_target_crash(std::uint64_t crashed_request, time_point now);
     void orphan_child_calls(execution& work);
     span make_span(execution const& work, answer_message const& answer) const;
@@ -144,6 +152,8 @@
     own_target local_target;
     concurrency_limiter limiter;
     admission_controller controller;
+    target_load_estimate load_estimate;
+    target_id estimated_target{0};
     work_queue queue;
     ticket_store<stored_answer> tickets;
     std::unordered_map<std::uint64_t, execution> executions;
--- a/libraries/node/host_selector.hpp
+++ b/libraries/node/host_selector.hpp
@@ -17,6 +17,7 @@
     bool idempotent{true};
     bool was_refused_for_limit{false}; ///< A target of the service had no room for it within its limit.
     std::vector<std::string> const& refusing_domains; ///< Their hosts have refused it as evacuated.
+    std::string const& passed_on_by;                  ///< The host that passed it on; empty if none did.
 };
 
 class host_selector {
@@ -25,7 +26,9 @@
         : context(shared), local_executor(own_executor) {}
 
     /// The host to send the request to; empty when no host can run it.
-    std::optional<std::string> choose(selection_request const& request, time_point now);
+    std::optional<placement> choose(selection_request const& request, time_point now);
+    /// Whether a request that is sent now is expected to be answered within this time.
+    bool is_answered_within(selection_request const& request, duration left, time_point now) const;
     /// Whether a target of the service accepts another request of this node, by the limits that are known.
     bool has_target_with_room(selection_request const& request, time_point now) const;
     bool has_candidate(selection_request const& request, time_point now) const {
--- a/libraries/node/node_context.hpp
+++ b/libraries/node/node_context.hpp
@@ -92,6 +92,9 @@
     /// Whether the operator has asked that the own target gets no new work.
     bool is_evacuated() const { return this->evacuations.contains(this->options.failure_domain); }
 
+    bool places_by_wait() const {
+        return this->options.mode == control_mode::full && this->options.placement == placement_rule::wait;
+    }
     bool has_full_control() const { return this->options.mode == control_mode::full; }
 
     settings options;
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -63,6 +63,7 @@
     this->context.make_own_report = [this] { return this->own_report(this->last_event_time); };
     // Configured peers allow links before any host list has been read; rate leases need the list itself.
     this->hosts = seed_hosts(this->context.options);
+    this->context.peers.set_regions(this->context.options.region, this->context.options.domain_regions);
     this->context.peers.update_hosts(this->hosts, started);
 }
 
@@ -76,6 +77,7 @@
         .leaving = this->context.phase == node_phase::draining || this->context.phase == node_phase::stopped,
         .serving = this->context.phase == node_phase::serving && this->context.configuration != nullptr};
     this->local_executor.target().describe(report, now);
+    this->local_executor.describe_load(report, now);
     return report;
 }
 
--- a/libraries/node/node_runtime.cpp
+++ b/libraries/node/node_runtime.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+/// A new connection costs the target more than a request loses by waiting this long for one in use.
+constexpr duration connection_wait{4};
+
 constexpr int core_poll_interval_ms = 50;
 /// How often the heap memory that is left free after a burst is returned to the system.
 constexpr int malloc_trim_interval_ms = 10'000;
@@ -54,6 +57,7 @@
            .max_body = options.max_body,
            .max_header = options.max_header,
            .max_requests = options.max_requests,
+           .max_connection_wait = options.placement == placement_rule::wait ? connection_wait : duration{0},
            .dialect = binding.dialect},
           [this](target_answer&& answer) {
               [[maybe_unused]] bool const accepted = this->core.push(std::move(answer));
--- a/libraries/node/peer_table.cpp
+++ b/libraries/node/peer_table.cpp
@@ -17,7 +17,8 @@
 constexpr duration rare_ping_interval{3000};
 /// When a ping stays unanswered for this long, a second connection is dialled.
 constexpr duration suspect_timeout{400};
-/// When a ping stays unanswered for this long, new requests go to other hosts of the service if there are any.
+/// When a ping stays unanswered for this long, new requests go to other hosts of the service if there are
+/// any.
 constexpr duration silent_host_timeout{150};
 /// When a ping stays unanswered for this long, the connection is closed.
 constexpr duration ping_timeout{900};
@@ -28,6 +29,7 @@
 /// A held message that is older than this is discarded: its sender has asked another host by then.
 constexpr duration held_message_lifetime{200};
 constexpr std::size_t max_held_messages = 64;
+constexpr double permille = 1000;
 /// Up to this fleet size every node keeps a link to every other one.
 constexpr std::size_t max_full_mesh_hosts = 48;
 constexpr std::size_t neighbours_in_own_domain = 6;
@@ -377,14 +379,28 @@
             continue;
         }
         if (info.has_report && info.report.serving && this->best_connection(peer) != 0) {
+            auto const& report = info.report;
             auto& group = is_silent(peer, now) ? silent : found;
-            group.push_back({name, info.entry.failure_domain == this->domain, info.report.in_flight,
-                             info.report.limit, now - info.report_time});
+            group.push_back({.host = name,
+                             .same_domain = info.entry.failure_domain == this->domain,
+                             .reported_in_flight = report.in_flight,
+                             .limit = report.limit,
+                             .report_age = now - info.report_time,
+                             .same_region = this->is_in_own_region(info.entry.failure_domain),
+                             .reported_wait = {static_cast<double>(report.expected_wait_ms)},
+                             .request_time = {static_cast<double>(report.target_request_ms)},
+                             .work_time_percent = static_cast<double>(report.target_work_time_percent),
+                             .failure_fraction = report.target_failure_permille / permille});
         }
     }
     return found.empty() ? silent : found;
 }
 
+bool peer_table::is_in_own_region(std::string const& other_domain) const {
+    auto const found = this->domain_regions.find(other_domain);
+    return found == this->domain_regions.end() || found->second == this->region;
+}
+
 std::vector<std::string> peer_table::connected_hosts() const {
     std::vector<std::string> names;
     for (auto const& [name, peer] : this->peers) {
--- a/libraries/node/peer_table.hpp
+++ b/libraries/node/peer_table.hpp
@@ -34,6 +34,12 @@
 public:
     peer_table(std::string own_host, std::string own_domain, effects& output);
 
+    /// Sets the own region and the regions of failure domains; a domain without one is in the own region.
+    void set_regions(std::string own_region, std::map<std::string, std::string> regions) {
+        this->region = std::move(own_region);
+        this->domain_regions = std::move(regions);
+    }
+
     /// Applies a new host list and closes the connections dialled to hosts that are no longer on it.
     void update_hosts(std::vector<listed_host> const& hosts, time_point now);
 
@@ -114,9 +120,12 @@
     connection_id best_connection(peer_state const& peer) const;
     /// Whether no link to the host answers pings in time.
     static bool is_silent(peer_state const& peer, time_point now);
+    bool is_in_own_region(std::string const& other_domain) const;
 
     std::string host;
     std::string domain;
+    std::string region;
+    std::map<std::string, std::string> domain_regions;
     effects& out;
     std::map<std::string, peer_state> peers;
     std::map<connection_id, std::string> hosts_by_connection;
--- a/libraries/node/request_router.cpp
+++ b/libraries/node/request_router.cpp
@@ -43,7 +43,7 @@
 bool is_refusal(answer_message const& answer) {
     return answer.code == result_code::overloaded || answer.code == result_code::queue_timeout ||
            answer.code == result_code::node_busy || answer.code == result_code::target_refused ||
-           is_paced_refusal(answer.code);
+           answer.code == result_code::passed_on || is_paced_refusal(answer.code);
 }
 
 /// Whether the request reached a target, so that another attempt counts as a retry for its service.
@@ -58,7 +58,7 @@
     return code == result_code::leaving || code == result_code::target_unreachable ||
            code == result_code::node_busy || code == result_code::not_ready ||
            code == result_code::queue_timeout || code == result_code::target_refused ||
-           code == result_code::target_replaced || is_paced_refusal(code);
+           code == result_code::target_replaced || code == result_code::passed_on || is_paced_refusal(code);
 }
 
 /// Whether another attempt of an idempotent request is likely to succeed. A crash is not retried: if the
@@ -88,7 +88,8 @@
     return {.service = call.service,
             .idempotent = call.idempotent,
             .was_refused_for_limit = call.was_refused_for_limit,
-            .refusing_domains = call.refusing_domains};
+            .refusing_domains = call.refusing_domains,
+            .passed_on_by = call.passed_on_by};
 }
 
 span make_span(pending_call const& call, answer_message const& answer) {
@@ -205,6 +206,8 @@
     call.request.parent_span = trace_context::new_span_id();
     double const wanted = request.timeout_ms > 0 ? request.timeout_ms : matched.deadline_ms;
     call.deadline = now + duration{std::min(wanted, matched.deadline_ms)};
+    call.objective =
+        matched.latency_objective_ms > 0 ? now + duration{matched.latency_objective_ms} : call.deadline;
     return call;
 }
 
@@ -304,9 +307,10 @@
     if (!host) {
         return std::nullopt;
     }
-    auto const report = *host == this->context.options.host ? this->context.make_own_report()
-                                                            : this->context.peers.find(*host)->report;
-    return ticket::create(*host, report.incarnation, report.ticket_window,
+    auto const report = host->host == this->context.options.host
+                            ? this->context.make_own_report()
+                            : this->context.peers.find(host->host)->report;
+    return ticket::create(host->host, report.incarnation, report.ticket_window,
                           ticket::binding_of(call.request.organisation, call.request.route));
 }
 
@@ -454,7 +458,10 @@
         this->assign_nested_ticket(call, now);
         host = call.parsed_ticket ? std::optional(call.parsed_ticket->host) : std::nullopt;
     } else {
-        host = this->selector.choose(selection_of(call), now);
+        if (auto const chosen = this->selector.choose(selection_of(call), now)) {
+            host = chosen->host;
+            call.pass_on_above = chosen->pass_on_above;
+        }
     }
     if (host) {
         return this->send_attempt(call, *host, now);
@@ -504,6 +511,9 @@
     int const allowance_part = allowance.reserve_for_call();
     call.request.allowance = static_cast<std::uint8_t>(allowance_part);
     call.request.instance = this->selector.instance_of(host);
+    // It is passed on once at most, so that it can't go round.
+    call.request.pass_on_above_ms =
+        call.passed_on_by.empty() ? static_cast<std::uint32_t>(call.pass_on_above.milliseconds) : 0;
     // The request is copied rather than moved, since it may have to be sent again.
     bool const sent = this->context.send_to_host(host, call.request, now, 0, &call.connection);
     if (!sent) {
@@ -566,6 +576,15 @@
         call.was_refused_for_limit = true;
         return this->selector.has_target_with_room(selection_of(call), now) && allowance.try_consume();
     }
+    if (answer.code == result_code::passed_on) {
+        bool const is_first = call.passed_on_by.empty();
+        call.passed_on_by = call.attempt_host;
+        return is_first;
+    }
+    auto const useful_until = std::min(call.deadline, call.objective);
+    if (lost && !this->selector.is_answered_within(selection_of(call), useful_until - now, now)) {
+        return false;
+    }
     if (allowance.remaining() <= 0 ||
         !this->context.organisation_retries.try_consume(call.request.organisation)) {
         return false;
@@ -592,13 +611,17 @@
         this->context.chooser.record_answer(from, now - call.sent, is_failure(answer), is_refusal(answer),
                                             now);
     }
+    if (from != this->context.options.host) {
+        this->context.chooser.record_link_delay(from, now - call.sent - duration{answer.held_ms}, now);
+    }
     this->record_reports(call, from, answer, now);
     this->allowance_of(call).return_unused(answer.allowance_left, call.sent_allowance);
     call.sent_allowance = 0;
     if (!this->try_acquire_retry(call, answer, now)) {
         return this->finish_call(call, std::move(answer), now);
     }
-    this->context.node_metrics.increment_counter("retries");
+    this->context.node_metrics.increment_counter(answer.code == result_code::passed_on ? "passed_on"
+                                                                                       : "retries");
     if (call.parsed_ticket && call.parent != 0) {
         if (auto* parent = this->local_executor.find(call.parent)) {
             parent->tickets_by_key.erase(call.idempotency_key);
--- a/libraries/node/request_router.hpp
+++ b/libraries/node/request_router.hpp
@@ -41,6 +41,7 @@
     std::uint64_t arrived_wall_nanoseconds{0};
     time_point waiting_since;
     time_point deadline;
+    time_point objective;      ///< An answer after this is worth less to the caller.
     retry_allowance allowance; ///< Not used when `parent` is set: then the parent's is used.
     int sent_allowance{0};     ///< Part of the allowance that was sent with the attempt in flight.
     std::string attempt_host;
@@ -50,6 +51,8 @@
     bool was_sent{false};              ///< An attempt was sent and may have reached its host.
     bool was_refused_for_limit{false}; ///< A target of the service had no room for it within its limit.
     std::vector<std::string> refusing_domains; ///< Failure domains whose hosts refused it as evacuated.
+    std::string passed_on_by;  ///< A host that had a longer queue than another; empty for none.
+    duration pass_on_above{0}; ///< Wait at the chosen host above which another is better.
     bool caller_disconnected{false};
     bool is_target_retry{false}; ///< The target has already made a call with this idempotency key.
     int resends{0};              ///< Further transmissions of the same ticket.
--- a/libraries/node/status_report.cpp
+++ b/libraries/node/status_report.cpp
@@ -38,7 +38,11 @@
                                 {"target_leaving", context.targets.is_leaving(peer->target)},
                                 {"ejected", context.chooser.is_ejected(name, now)},
                                 {"in_flight", number(peer->report.in_flight)},
-                                {"limit", number(peer->report.limit)}});
+                                {"limit", number(peer->report.limit)},
+                                {"expected_wait_ms", number(peer->report.expected_wait_ms)},
+                                {"request_ms", number(peer->report.target_request_ms)},
+                                {"work_time_percent", number(peer->report.target_work_time_percent)},
+                                {"failure_permille", number(peer->report.target_failure_permille)}});
     }
     return rows;
 }
--- a/libraries/policy/target_chooser.cpp
+++ b/libraries/policy/target_chooser.cpp
@@ -25,6 +25,7 @@
 constexpr double spill_margin = 0.35;
 constexpr double spill_threshold = 0.85;
 constexpr double response_time_smoothing = 0.1;
+constexpr std::size_t max_recent_sends = 1024;
 
 } // namespace
 
@@ -33,7 +34,14 @@
     if (std::exchange(state.is_new, false)) {
         state.first_used = now;
     }
-    ++state.outstanding;
+    if (state.outstanding++ == 0) {
+        state.answered_at = now;
+    }
+    auto& sends = state.recent_sends;
+    sends.push_back(now);
+    while (sends.size() > max_recent_sends || now - sends.front() > report_lifetime) {
+        sends.pop_front();
+    }
     if (state.ejections > 0 && now >= state.ejected_until && state.consecutive_failures > 0) {
         state.probing = true;
     }
@@ -50,6 +58,7 @@
                                    time_point now) {
     auto& state = this->hosts[host];
     state.outstanding = std::max(0, state.outstanding - 1);
+    state.answered_at = now;
     bool const was_probe = std::exchange(state.probing, false);
     if (refused) {
         double const decayed =
--- a/tests/config/folder_test.cpp
+++ b/tests/config/folder_test.cpp
@@ -129,6 +129,18 @@
     CHECK(check(good + "peers=['b=d=s=127.0.0.1:9']\n") == result_code::ok);
     CHECK(check(good + "peers=['b=d=s']\n") == result_code::configuration_out_of_bounds);
     CHECK(check(good + "[limits]\nmax_body=1\n") == result_code::configuration_out_of_bounds);
+    CHECK(check(good + "[control]\nplacement='nearest'\n") == result_code::configuration_out_of_bounds);
+    auto const with_regions = [&](std::string const& regions, std::string const& rule) {
+        auto text = good;
+        text.insert(text.find("service="), "failure_domain_regions=" + regions + "\n");
+        std::ofstream(path) << text + "[control]\nplacement='" + rule + "'\n";
+        return attempt_or([&] { return read_settings(path); }, [](problem const&) { return settings{}; });
+    };
+    CHECK(with_regions("['a=x','b=x']", "regional").placement == placement_rule::load);
+    CHECK(with_regions("['a=x','b=y']", "regional").placement == placement_rule::wait);
+    CHECK(with_regions("['a=x','b=y']", "load").placement == placement_rule::load);
+    CHECK(with_regions("['a=x','b=y']", "wait").domain_regions.at("b") == "y");
+    CHECK(with_regions("['a']", "wait").domain_regions.empty());
     CHECK(check(good + "[limits]\nmax_bodies=1\n") == result_code::configuration_unknown_name);
     CHECK(check("[node]\nhost='a'\n") == result_code::configuration_missing);
     CHECK(check("[addresses]\ncallers='nowhere'\n") != result_code::ok);
--- a/tests/http/target_statement_test.cpp
+++ b/tests/http/target_statement_test.cpp
@@ -54,3 +54,28 @@
     CHECK_FALSE(read({}, "0").leaving);
     CHECK_FALSE(read({}).leaving);
 }
+
+TEST_CASE("a load has three or four figures; any other text is no load, and a wrong work time is ignored") {
+    auto const load_of = [](std::string const& text) {
+        boost::beast::http::fields header;
+        header.set("Load", text);
+        return read_target_statement({.target_load = "Load"}, header).load;
+    };
+    auto const load = load_of(" 3, 0,8, 120.5 ");
+    REQUIRE(load);
+    CHECK(load->running == 3);
+    CHECK(load->waiting == 0);
+    CHECK(load->slots == 8);
+    CHECK(load->work_time_percent == 120.5);
+    for (auto const* text :
+         {"3,0,8", "3,0,8,", "3,0,8,x", "3,0,8,-5", "3,0,8,0", "3,0,8,1e9", "3,0,8,99999999"}) {
+        CAPTURE(text);
+        REQUIRE(load_of(text));
+        CHECK_FALSE(load_of(text)->work_time_percent);
+    }
+    for (auto const* text : {"", "3", "3,0", "3,0,0", "-1,0,8", "3,-1,8", "a,0,8", "3,,8", "3,0,8,100,1",
+                             "99999999999,0,8", "3,0,8.5", "3;0;8"}) {
+        CAPTURE(text);
+        CHECK_FALSE(load_of(text));
+    }
+}
--- a/tests/node/simulated_fleet.cpp
+++ b/tests/node/simulated_fleet.cpp
@@ -93,6 +93,7 @@
             entry->options.rate_shards = 1;
             entry->options.drain_ms = this->plan.drain_ms;
             entry->options.egress_correlation = this->plan.calls;
+            entry->options.placement = this->plan.placement;
             this->list.hosts.push_back({.host = host,
                                         .failure_domain = domain,
                                         .service = service.name,
@@ -155,6 +156,10 @@
     }
 }
 
+void simulated_fleet::set_service_time(std::string const& host, duration span) {
+    this->nodes.at(host)->service.service_time = span;
+}
+
 void simulated_fleet::publish_configuration(item_set const& items) {
     this->configuration = make_bundle_or_throw(items, ++this->revision);
     for (auto& [host, entry] : this->nodes) {
--- a/tests/node/simulated_fleet.hpp
+++ b/tests/node/simulated_fleet.hpp
@@ -37,6 +37,7 @@
     rate_tolerance tolerance;
     cold_tolerance cold;
     call_correlation calls{call_correlation::token};
+    placement_rule placement{placement_rule::load};
     std::uint64_t seed{1};
 };
 
@@ -98,6 +99,8 @@
     void set_target_statement(std::string const& host, target_statement statement);
     /// The host's target is cold for the span; only health checks tell. It enforces nothing by itself.
     void set_target_cold(std::string const& host, duration span);
+    /// Sets the time of each later run at the host's target.
+    void set_service_time(std::string const& host, duration span);
     /// Serves a new host list to every live host that is not partitioned.
     void publish_hosts(std::vector<listed_host> hosts);
     /// The same with these evacuated failure domains in place of the former ones.
