policy, node: Admit by what a request costs at every service below its route

The leaf's refusals did not reach the entry nodes, since most calls of targets match no parent. Costs are learnt without parents, and room is published by service.

--- a/libraries/config/schema.cpp
+++ b/libraries/config/schema.cpp
@@ -87,6 +87,8 @@
      "How the own target's calls are matched with what it serves: token or deadline."},
     {"control", "rate_shards", number, 1, 16, false, "pools",
      "Pools into which a failure domain's part of each rate is split; the same on all nodes."},
+    {"control", "admission", text, 1, max_name, false, "",
+     "What admission is decided by: count of requests, or cost at each service below the route."},
     {"control", "mode", text, 1, max_name, false, "", "full, or for experiments: off, per_host."},
     {"telemetry", "log_level", text, 1, max_name, false, "", "trace, debug, info, warn or error."},
     {"telemetry", "span_file_descriptor", number, 0, 1023, false, "",
--- a/libraries/config/settings.cpp
+++ b/libraries/config/settings.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::array<std::string_view, 3> mode_names{"full", "per_host", "off"};
 constexpr std::array<std::string_view, 2> call_correlation_names{"token", "deadline"};
+constexpr std::array<std::string_view, 2> admission_basis_names{"count", "cost"};
 constexpr std::array<std::string_view, 5> log_levels{"trace", "debug", "info", "warn", "error"};
 constexpr std::size_t seed_part_count = 4;
 
@@ -164,6 +165,10 @@
     BOOST_LEAF_AUTO(mode, parse_choice(mode_names, reader.get_or<std::string>("control", "mode", "full"),
                                        "control.mode"));
     parsed.mode = static_cast<control_mode>(mode);
+    BOOST_LEAF_AUTO(admission, parse_choice(admission_basis_names,
+                                            reader.get_or<std::string>("control", "admission", "count"),
+                                            "control.admission"));
+    parsed.admission = static_cast<admission_basis>(admission);
     parsed.log_level = reader.get_or<std::string>("telemetry", "log_level", parsed.log_level);
     BOOST_LEAF_CHECK(parse_choice(log_levels, parsed.log_level, "telemetry.log_level"));
     parsed.span_file_descriptor = static_cast<int>(
--- a/libraries/config/settings.hpp
+++ b/libraries/config/settings.hpp
@@ -25,6 +25,12 @@
 
 std::string_view name_of(control_mode value);
 
+/// What admission at entry nodes is decided by.
+enum class admission_basis : std::uint8_t {
+    count, ///< The fraction of requests that each service admits, by route and organisation.
+    cost,  ///< The time that a request takes at each service below its route, and the room there.
+};
+
 /// A peer that is known before the first host list is read.
 struct seed_peer {
     std::string host;
@@ -67,6 +73,7 @@
     std::uint8_t rate_shards{4}; ///< Pools into which a failure domain's part of each rate is split.
     call_correlation egress_correlation{call_correlation::token};
     control_mode mode{control_mode::full};
+    admission_basis admission{admission_basis::count};
     std::string log_level{"info"};
     int span_file_descriptor{-1}; ///< -1 when spans are not written.
     std::string span_url;
--- a/libraries/node/entry_admission.hpp
+++ b/libraries/node/entry_admission.hpp
@@ -20,7 +20,22 @@
 
     explicit entry_admission(node_context& shared) : context(shared) {}
 
-    bool admits(forward_message const& request, time_point now) const;
+    /// Why a request is or is not let in.
+    struct decision {
+        bool admitted{true};
+        double fraction{1};                    ///< Of the requests like this one that are let in.
+        service_room_view::bottleneck limited; ///< By which service; empty for none.
+    };
+
+    /// `service` runs the request itself.
+    decision decide(forward_message const& request, std::string const& service, time_point now) const;
+    /// When a caller that was refused should come back: spread over the time in which there may be room,
+    /// earlier for urgent requests and the more room there is. `left`: the time that the caller still waits.
+    static duration return_delay(forward_message const& request, decision const& refused, duration left,
+                                 double position);
+    /// Stores the costs and the room that came with the answer of a host to a call.
+    void record_room(std::string const& from, std::string const& route, answer_message const& answer,
+                     time_point now);
     /// Stores the admission fractions that came with the answer to a call.
     void record_reports(forward_message const& request, std::vector<admission_report> const& reports,
                         report_context const& origin, time_point now);
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -33,8 +33,10 @@
 } // namespace
 
 executor::executor(node_context& shared, time_point started)
-    : context(shared), local_target(shared, started), limiter(1), queue(min_queue_capacity),
-      tickets(started) {}
+    : context(shared), local_target(shared, started), limiter(1), load(shared), queue(min_queue_capacity),
+      tickets(started) {
+    this->queue.set_critical_first(shared.admits_by_cost());
+}
 
 int executor::concurrency_limit() const {
     return this->context.has_full_control() ? this->limiter.limit() : this->slots;
@@ -211,6 +213,7 @@
     auto const weight = this->weight_of(work.request.organisation);
     this->local_target.note_demand(now);
     this->controller.record_arrival(work.request.organisation, work.request.priority, weight);
+    this->load.record_arrival(work.request);
     for (auto const& waiter : work.waiters) {
         this->by_call[{waiter.host, waiter.call_id}] = id;
     }
@@ -232,6 +235,7 @@
     bool const has_free_slot =
         this->running < capacity && this->queue.size() == 0 && this->local_target.may_send(now);
     this->controller.record_backlog(!has_free_slot);
+    this->load.record_backlog(!has_free_slot);
     if (has_free_slot) {
         return this->start(entry->second, now);
     }
@@ -258,6 +262,7 @@
     }
     work.span_id = trace_context::new_span_id();
     ++this->running;
+    this->load.record_start(work.id, work.request, now);
     this->local_target.record_sent(work.request.depth > 0 || work.request.is_nested_call, now);
     this->context.node_metrics.observe(latency_metric::queue, now - work.arrived);
     auto const left = work.deadline - now;
@@ -357,10 +362,16 @@
 
 void executor::send_answer(execution const& work, answer_message answer, time_point now) {
     answer.allowance_left = static_cast<std::uint8_t>(std::max(0, work.allowance.remaining()));
-    answer.admissions = this->admission_reports(work);
+    bool const by_cost = this->context.admits_by_cost();
+    auto const reports = by_cost ? std::vector<admission_report>{} : this->admission_reports(work);
     answer.report = this->context.make_own_report();
     for (auto const& waiter : work.waiters) {
         answer.call_id = waiter.call_id;
+        answer.admissions = reports;
+        answer.costs.clear();
+        if (by_cost) {
+            this->load.describe(answer, work.request.route, waiter.host, now);
+        }
         this->context.send_to_host(waiter.host, answer, now, waiter.connection);
     }
 }
@@ -387,6 +398,7 @@
     }
     if (work.stage == execution::state::running) {
         --this->running;
+        this->load.record_end(work.id, work.request, now - work.started, now);
         this->running_suspect = this->running_suspect == work.id ? 0 : this->running_suspect;
         this->by_token.erase(work.context_token);
         if (this->context.options.exports_spans()) {
@@ -450,6 +462,7 @@
                   .body = std::move(answer.body)},
                  now);
     this->controller.record_backlog(this->queue.size() > 0);
+    this->load.record_backlog(this->queue.size() > 0);
     this->start_queued(now);
 }
 
@@ -551,7 +564,12 @@
     this->start_queued(now);
     this->local_target.run_periodic_tasks(now);
     this->controller.record_backlog(this->queue.size() > 0);
+    this->load.record_backlog(this->queue.size() > 0);
     this->controller.update_if_due(now);
+    if (this->context.admits_by_cost()) {
+        this->load.update_if_due(this->concurrency_limit(),
+                                 this->local_target.is_pacing(now) ? this->local_target.pace(now) : 0, now);
+    }
     std::vector<std::uint64_t> overdue;
     std::vector<std::uint64_t> stale_suspects;
     for (auto const& [id, work] : this->executions) {
--- a/libraries/node/executor.hpp
+++ b/libraries/node/executor.hpp
@@ -2,6 +2,7 @@
 /// and the answers to the entry nodes.
 #pragma once
 
+#include "node/load_accounting.hpp"
 #include "node/node_context.hpp"
 #include "node/own_target.hpp"
 #include "policy/admission_controller.hpp"
@@ -103,6 +104,8 @@
     /// Sets how many requests the own target runs at once according to the host list; 0 when it does not say.
     void set_listed_slots(int count);
     own_target& target() { return this->local_target; }
+    load_accounting& accounting() { return this->load; }
+    load_accounting const& accounting() const { return this->load; }
 
     std::uint64_t ticket_window(time_point now) { return this->tickets.current_window(now); }
     std::size_t in_flight() const { return this->running; }
@@ -144,6 +147,7 @@
     own_target local_target;
     concurrency_limiter limiter;
     admission_controller controller;
+    load_accounting load;
     work_queue queue;
     ticket_store<stored_answer> tickets;
     std::unordered_map<std::uint64_t, execution> executions;
--- a/libraries/node/node_context.hpp
+++ b/libraries/node/node_context.hpp
@@ -11,6 +11,7 @@
 #include "policy/local_rate_share.hpp"
 #include "policy/quarantine.hpp"
 #include "policy/retry_allowance.hpp"
+#include "policy/service_room_view.hpp"
 #include "policy/service_retry_budget.hpp"
 #include "policy/target_chooser.hpp"
 #include "policy/target_state_table.hpp"
@@ -92,6 +93,7 @@
     /// Whether the operator has asked that the own target gets no new work.
     bool is_evacuated() const { return this->evacuations.contains(this->options.failure_domain); }
 
+    bool admits_by_cost() const { return this->options.admission == admission_basis::cost; }
     bool has_full_control() const { return this->options.mode == control_mode::full; }
 
     settings options;
@@ -108,6 +110,7 @@
     rate_lease_manager rate_leases;
     local_rate_share local_rates;
     admission_view admissions;
+    service_room_view rooms;
     target_chooser chooser;
     target_state_table targets;
     domain_evacuations evacuations;
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -444,6 +444,8 @@
     if (now >= this->next_cleanup) {
         this->next_cleanup = now + cleanup_interval;
         this->context.admissions.remove_expired(now);
+        this->context.rooms.remove_expired(now);
+        this->local_executor.accounting().remove_expired(now);
         this->context.targets.remove_expired(now);
         this->context.request_quarantine.remove_expired(now);
         this->router.remove_expired(now);
--- a/libraries/node/request_router.cpp
+++ b/libraries/node/request_router.cpp
@@ -249,6 +249,8 @@
     call.request.depth = static_cast<std::uint8_t>(parent.request.depth + 1);
     call.request.trace_id = parent.request.trace_id;
     call.parent_span = parent.span_id;
+    load_accounting::charge(call.request, parent.request);
+    this->local_executor.accounting().record_call(call.request.route, parent.request.route, now);
     this->local_executor.add_child_call(parent, call.id, now);
     this->by_listener_request[{call.side, call.listener_request_id}] = call.id;
     auto const id = call.id;
@@ -277,11 +279,24 @@
         call.parent_span = parent->span_id;
         this->local_executor.note_call_started(*parent, now);
     }
+    if (this->context.admits_by_cost()) {
+        this->charge_call(call.request, parent, now);
+    }
     this->by_listener_request[{call.side, call.listener_request_id}] = call.id;
     auto const id = call.id;
     this->dispatch(this->calls.emplace(id, std::move(call)).first->second, now);
 }
 
+void request_router::charge_call(forward_message& call, execution const* parent, time_point now) {
+    auto& accounting = this->local_executor.accounting();
+    auto const* charged =
+        parent != nullptr ? parent : this->local_executor.find(accounting.draw_parent(call.route));
+    if (charged != nullptr) {
+        load_accounting::charge(call, charged->request);
+    }
+    accounting.record_call(call.route, "", now);
+}
+
 bool request_router::check_ticket(pending_call& call, std::string const& text, time_point now) {
     if (text.empty()) {
         this->issue_ticket(call, result_code::ticket_required, outcome::not_run, now);
@@ -329,9 +344,19 @@
 }
 
 void request_router::admit(pending_call&& call, time_point now) {
-    if (!this->admission.admits(call.request, now)) {
-        return this->finish_with_error(call, {result_code::overloaded, overload_retry_after_ms}, now);
+    auto const decision = this->admission.decide(call.request, call.service, now);
+    if (!decision.admitted) {
+        call.limited = decision.limited;
+        double retry_after_ms = overload_retry_after_ms;
+        if (this->context.admits_by_cost()) {
+            retry_after_ms = entry_admission::return_delay(call.request, decision, call.deadline - now,
+                                                           selection_position(random_number()))
+                                 .milliseconds;
+        }
+        return this->finish_with_error(call, {result_code::overloaded, retry_after_ms}, now);
     }
+    call.request.charged_priority = call.request.priority;
+    call.request.offered_weight = 1 / decision.fraction;
     auto const id = call.id;
     this->by_listener_request[{call.side, call.listener_request_id}] = id;
     auto& stored = this->calls.emplace(id, std::move(call)).first->second;
@@ -533,6 +558,9 @@
     if (is_paced_refusal(answer.code)) {
         this->context.targets.record_refusal(this->selector.target_of(from), now);
     }
+    if (this->context.admits_by_cost()) {
+        return this->admission.record_room(from, call.request.route, answer, now);
+    }
     // A host whose target has stated a limit refuses what the other targets of the service may still accept.
     bool const others_have_room = (answer.report.target_is_limited || answer.report.target_cold_ms > 0) &&
                                   this->selector.has_target_with_room(selection_of(call), now);
@@ -725,6 +753,11 @@
          {"evacuated", this->evacuated_domains()},
          {"rate_pools", rate_pools},
          {"target_cold_ms", cold.milliseconds > 0 ? rounded(cold.milliseconds) : ""},
+         {"room_service", call.limited.service},
+         {"room_fraction", call.limited.service.empty() ? "" : std::to_string(call.limited.fraction)},
+         {"cost_ms", call.limited.service.empty() ? "" : rounded(call.limited.cost)},
+         {"class", std::to_string(call.request.priority)},
+         {"room_age_ms", call.limited.service.empty() ? "" : rounded(call.limited.age.milliseconds)},
          {"attempts_left", std::to_string(call.allowance.remaining())},
          {"configuration", std::to_string(this->context.configuration->revision())}});
 }
--- a/libraries/node/request_router.hpp
+++ b/libraries/node/request_router.hpp
@@ -54,6 +54,7 @@
     bool is_target_retry{false}; ///< The target has already made a call with this idempotency key.
     int resends{0};              ///< Further transmissions of the same ticket.
     std::string parent_span;
+    service_room_view::bottleneck limited; ///< The service whose room did not admit the request.
 };
 
 class request_router {
@@ -91,6 +92,8 @@
                              time_point now);
     void start_nested_call(listener_request&& request, route const& matched, execution& parent,
                            time_point now);
+    /// Charges a call without a context token to a running request, drawn if `parent` is null.
+    void charge_call(forward_message& call, execution const* parent, time_point now);
     pending_call make_call(listener_request&& request, route const& matched, time_point now);
     /// Checks the ticket of a caller's non-idempotent request, or issues one when it has none. Returns false
     /// when the call has been answered.
--- a/libraries/policy/work_queue.cpp
+++ b/libraries/policy/work_queue.cpp
@@ -22,6 +22,13 @@
     return now >= work.deadline || now - work.arrived >= age_limit(work.is_nested);
 }
 
+std::uint8_t work_queue::group_of(queued_work const& work) const {
+    if (work.is_nested) {
+        return 1;
+    }
+    return this->critical_first && work.priority == 0 ? 0 : 2;
+}
+
 std::uint64_t work_queue::push(queued_work work) {
     work.priority = std::min<std::uint8_t>(work.priority, queue_priority_count - 1);
     auto& share = this->shares.at(work.priority);
@@ -32,7 +39,7 @@
     double const virtual_start = std::max(share.virtual_time, virtual_finish);
     virtual_finish = virtual_start + 1.0 / work.weight;
     auto const id = work.id;
-    rank const position{!work.is_nested, work.priority, virtual_start, this->next_arrival++};
+    rank const position{this->group_of(work), work.priority, virtual_start, this->next_arrival++};
     this->order.emplace(position, std::move(work));
     this->ranks.emplace(id, position);
     if (this->order.size() <= this->capacity) {
--- a/libraries/policy/work_queue.hpp
+++ b/libraries/policy/work_queue.hpp
@@ -28,7 +28,7 @@
     time_point deadline;
 };
 
-/// Order: nested calls first, then by priority class, then the organisation that has received the least
+/// Order: nested calls first, after critical root requests where these go first, then by priority class, then the organisation that has received the least
 /// service for its weight, then by age.
 class work_queue {
 public:
@@ -42,6 +42,9 @@
         this->nested_capacity = std::max(max_size, max_nested_size);
     }
 
+    /// Whether critical root requests go before nested calls.
+    void set_critical_first(bool value) { this->critical_first = value; }
+
     /// Work that has waited for this long is removed.
     static duration age_limit(bool is_nested);
 
@@ -61,8 +64,8 @@
     std::size_t size() const { return this->order.size(); }
 
 private:
-    /// The smallest is served first: not nested, priority class, virtual start time, arrival number.
-    using rank = std::tuple<bool, std::uint8_t, double, std::uint64_t>;
+    /// The smallest is served first: group, priority class, virtual start time, arrival number.
+    using rank = std::tuple<std::uint8_t, std::uint8_t, double, std::uint64_t>;
 
     struct fair_share {
         std::unordered_map<std::string, double>
@@ -72,6 +75,9 @@
 
     static bool is_expired(queued_work const& work, time_point now);
 
+    std::uint8_t group_of(queued_work const& work) const;
+
+    bool critical_first{false};
     std::size_t capacity;
     std::size_t nested_capacity;
     std::map<rank, queued_work> order;
