--- a/libraries/node/entry_admission.cpp
+++ b/libraries/node/entry_admission.cpp
@@ -27,8 +27,8 @@
         made.limited = this->context.rooms.bottleneck_of(request.route, service, priority, now);
         made.fraction = made.limited.fraction;
     } else {
-        made.fraction = this->context.admissions.min_fraction(request.route, request.organisation,
-                                                              request.priority, now);
+        made.fraction =
+            this->context.admissions.min_fraction(request.route, request.organisation, request.priority, now);
     }
     // Critical requests are exempt from the goodput limit: shedding the others relieves them as well.
     if (request.priority != static_cast<std::uint8_t>(priority_class::critical)) {
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -17,6 +17,9 @@
 /// makes up to ten such calls, and fails when one of them is refused. Ten runs per slot fit the queue's age
 /// limit where a run takes about ten milliseconds; where runs take longer, the age limit applies first.
 constexpr double nested_queue_places_per_slot = 10.0;
+/// The same where entry nodes know the room: a request waits at each of its calls, so that long waits make it
+/// late.
+constexpr double short_nested_queue_places_per_slot = 5.0;
 constexpr std::size_t min_queue_capacity = 8;
 constexpr double refusal_retry_after_ms = 500;
 /// The target's timeout exceeds the caller's deadline by this much, so that the deadline always ends a
@@ -67,7 +70,9 @@
         return std::clamp(static_cast<std::size_t>(accepted_in_time), std::size_t{1}, by_slots);
     };
     this->queue.set_capacity(capacity(queue_places_per_slot, false),
-                             capacity(nested_queue_places_per_slot, true));
+                             capacity(this->context.admits_by_cost() ? short_nested_queue_places_per_slot
+                                                                     : nested_queue_places_per_slot,
+                                      true));
 }
 
 bool executor::would_expire_in_queue(queued_work const& work, time_point now) const {
--- a/libraries/node/load_accounting.cpp
+++ b/libraries/node/load_accounting.cpp
@@ -45,8 +45,7 @@
 }
 
 std::uint64_t load_accounting::draw_parent(std::string const& callee) const {
-    auto const route =
-        this->estimator.draw_parent_route(callee, selection_position(random_number()));
+    auto const route = this->estimator.draw_parent_route(callee, selection_position(random_number()));
     auto const found = this->running.find(route);
     return found == this->running.end() ? 0 : found->second[random_number() % found->second.size()];
 }
--- a/libraries/node/load_accounting.hpp
+++ b/libraries/node/load_accounting.hpp
@@ -1,6 +1,6 @@
-/// Accounts at the host beside a target for what its requests cost: slot time at the own target, and the calls
-/// that they make. Charges each call to a request that made it, or probably made it, and computes the room at
-/// the own target.
+/// Accounts at the host beside a target for what its requests cost: slot time at the own target, and the
+/// calls that they make. Charges each call to a request that made it, or probably made it, and computes the
+/// room at the own target.
 #pragma once
 
 #include "link/message.hpp"
--- a/libraries/policy/call_cost_estimator.cpp
+++ b/libraries/policy/call_cost_estimator.cpp
@@ -9,10 +9,12 @@
 namespace {
 
 /// Only calls of this span are fitted, so that a changed route is learnt within it.
-constexpr duration window_span{2500};
+constexpr duration window_span{3000};
+/// Calls within this span are counted together.
+constexpr duration bin_span{15};
 constexpr duration update_interval{250};
 /// Bound on the calls that are kept for one callee; a busy target has a shorter window.
-constexpr std::size_t max_events = 384;
+constexpr std::size_t max_events = 512;
 constexpr std::size_t min_events = 4;
 constexpr int fit_rounds = 12;
 /// A route with fewer runs in the window says too little.
@@ -83,12 +85,17 @@
 
 void call_cost_estimator::record_call(std::string const& callee, std::string const& parent_route,
                                       time_point now) {
-    auto event = this->take_snapshot(now);
     auto const parent = this->find_index(parent_route);
-    if (!parent_route.empty() && parent < this->routes.size()) {
-        event.certain_parent = static_cast<int>(parent);
-    }
+    bool const is_certain = !parent_route.empty() && parent < this->routes.size();
+    int const certain_parent = is_certain ? static_cast<int>(parent) : -1;
     auto& events = this->calls[callee];
+    if (!events.empty() && now - events.back().at < bin_span &&
+        events.back().certain_parent == certain_parent) {
+        ++events.back().calls;
+        return;
+    }
+    auto event = this->take_snapshot(now);
+    event.certain_parent = certain_parent;
     events.push_back(std::move(event));
     if (events.size() > max_events) {
         events.pop_front();
@@ -152,7 +159,11 @@
     if (total_exposure <= 0) {
         return;
     }
-    double const mean_rate = static_cast<double>(events.size() - 1) / total_exposure;
+    double calls_made = 0;
+    for (auto event = std::next(events.begin()); event != events.end(); ++event) {
+        calls_made += event->calls;
+    }
+    double const mean_rate = calls_made / total_exposure;
     auto rates = result.rates;
     for (auto& rate : rates) {
         // A route that was ruled out before may have changed.
@@ -164,7 +175,7 @@
         std::ranges::fill(sums, 0);
         for (auto event = std::next(events.begin()); event != events.end(); ++event) {
             if (event->certain_parent >= 0) {
-                sums.at(static_cast<std::size_t>(event->certain_parent)) += 1;
+                sums.at(static_cast<std::size_t>(event->certain_parent)) += event->calls;
                 continue;
             }
             double total = 0;
@@ -173,7 +184,7 @@
                 total += share[index];
             }
             for (std::size_t index = 0; total > 0 && index < count; ++index) {
-                sums[index] += share[index] / total;
+                sums[index] += event->calls * share[index] / total;
             }
         }
         for (std::size_t index = 0; index < count; ++index) {
--- a/libraries/policy/call_cost_estimator.hpp
+++ b/libraries/policy/call_cost_estimator.hpp
@@ -58,6 +58,7 @@
         std::vector<double> exposure;
         std::vector<double> started;
         int certain_parent{-1};
+        double calls{1}; ///< Calls in quick succession share a snapshot.
     };
     struct fit {
         std::vector<double> rates; ///< Calls per millisecond in progress, by route.
--- a/libraries/policy/service_room.cpp
+++ b/libraries/policy/service_room.cpp
@@ -12,13 +12,14 @@
 constexpr duration backlog_time_constant{400};
 /// Bounds of the part of the slots that is given away, and how fast it follows the backlog.
 constexpr double initial_usable = 0.95;
-constexpr double min_usable = 0.6;
-constexpr double max_usable = 1.05;
-constexpr double usable_decrease = 0.97;
-constexpr double usable_increase = 1.01;
-/// Requests wait too often above the first fraction, hardly ever below the second.
-constexpr double crowded_fraction = 0.5;
-constexpr double idle_fraction = 0.1;
+constexpr double min_usable = 0.2;
+constexpr double max_usable = 1.1;
+constexpr double usable_decrease = 0.95;
+constexpr double usable_increase = 1.1;
+/// Requests wait too often above the first fraction, and there is room for more below the second. Requests
+/// that fail midway make fewer calls, so that demand alone would be taken for less than it is.
+constexpr double crowded_fraction = 0.7;
+constexpr double idle_fraction = 0.3;
 constexpr double min_fraction = 0.02;
 /// Limiting begins only when requests have also been seen waiting.
 constexpr double begin_fraction = 0.2;
@@ -55,15 +56,14 @@
         return;
     }
     for (auto& entry : this->classes) {
-        entry.slots += smoothing_of(span, demand_time_constant) *
-                       (entry.arrived / span.milliseconds - entry.slots);
+        entry.slots +=
+            smoothing_of(span, demand_time_constant) * (entry.arrived / span.milliseconds - entry.slots);
         entry.arrived = 0;
     }
     double const waiting = this->observations == 0 ? 0.0
                                                    : static_cast<double>(this->backlog_observations) /
                                                          static_cast<double>(this->observations);
-    this->backlog_fraction +=
-        smoothing_of(span, backlog_time_constant) * (waiting - this->backlog_fraction);
+    this->backlog_fraction += smoothing_of(span, backlog_time_constant) * (waiting - this->backlog_fraction);
     this->observations = 0;
     this->backlog_observations = 0;
     this->window_start = now;
--- a/libraries/policy/service_room.hpp
+++ b/libraries/policy/service_room.hpp
@@ -16,6 +16,8 @@
 
 class service_room {
 public:
+    service_room();
+
     /// `slot_time`: how long the request will hold a slot. `offered_weight`: requests that it stands for.
     void record_arrival(std::size_t priority, duration slot_time, double offered_weight);
     /// Records one observation of whether requests are waiting for a slot.
@@ -49,9 +51,6 @@
     double usable;
     bool limiting{false};
     time_point window_start;
-
-public:
-    service_room();
 };
 
 } // namespace caraway
--- a/libraries/policy/service_room_view.cpp
+++ b/libraries/policy/service_room_view.cpp
@@ -17,8 +17,8 @@
 constexpr duration news_span{2000};
 constexpr duration cost_lifetime{15'000};
 constexpr double cost_smoothing = 0.3;
-/// Slot time, in milliseconds, below which a service does not matter to a route.
-constexpr double min_cost = 1.0;
+/// A service matters to a route when it takes at least this part of the route's slot time.
+constexpr double min_cost_share = 0.05;
 constexpr double all_admitted = 0.999;
 
 } // namespace
@@ -107,8 +107,12 @@
     auto const& costs = this->costs_of(route);
     auto const direct = costs.find(direct_service);
     consider(direct_service, direct == costs.end() ? 0 : direct->second);
+    double total = 0;
     for (auto const& [service, cost] : costs) {
-        if (cost >= min_cost && service != direct_service) {
+        total += cost;
+    }
+    for (auto const& [service, cost] : costs) {
+        if (cost >= total * min_cost_share && service != direct_service) {
             consider(service, cost);
         }
     }
--- a/libraries/policy/work_queue.hpp
+++ b/libraries/policy/work_queue.hpp
@@ -28,8 +28,8 @@
     time_point deadline;
 };
 
-/// Order: nested calls first, after critical root requests where these go first, then by priority class, then the organisation that has received the least
-/// service for its weight, then by age.
+/// Order: nested calls first, after critical root requests where these go first, then by priority class, then
+/// the organisation that has received the least service for its weight, then by age.
 class work_queue {
 public:
     /// The queue holds up to `max_size` requests, or up to `max_nested_size` while all of them are nested
