--- a/libraries/config/settings.cpp
+++ b/libraries/config/settings.cpp
@@ -15,6 +15,7 @@
 /// The place of "regional" in `placement_names`: by wait in a fleet of several regions, else by load.
 constexpr std::size_t regional_placement = 2;
 constexpr std::array<std::string_view, 2> call_correlation_names{"token", "deadline"};
+constexpr std::array<std::string_view, 2> admission_basis_names{"count", "cost"};
 constexpr std::array<std::string_view, 5> log_levels{"trace", "debug", "info", "warn", "error"};
 constexpr std::size_t seed_part_count = 4;
 
@@ -196,6 +197,10 @@
     parsed.placement = placement == regional_placement
                            ? (has_several_regions(parsed) ? placement_rule::wait : placement_rule::load)
                            : static_cast<placement_rule>(placement);
+    BOOST_LEAF_AUTO(admission, parse_choice(admission_basis_names,
+                                            reader.get_or<std::string>("control", "admission", "count"),
+                                            "control.admission"));
+    parsed.admission = static_cast<admission_basis>(admission);
     parsed.log_level = reader.get_or<std::string>("telemetry", "log_level", parsed.log_level);
     BOOST_LEAF_CHECK(parse_choice(log_levels, parsed.log_level, "telemetry.log_level"));
     parsed.span_file_descriptor = static_cast<int>(
--- a/libraries/config/settings.hpp
+++ b/libraries/config/settings.hpp
@@ -32,6 +32,12 @@
     wait, ///< Expected wait, distance and failures; work that waits may be passed on to another host.
 };
 
+/// What admission at entry nodes is decided by.
+enum class admission_basis : std::uint8_t {
+    count, ///< The fraction of requests that each service admits, by route and organisation.
+    cost,  ///< The time that a request takes at each service below its route, and the room there.
+};
+
 /// A peer that is known before the first host list is read.
 struct seed_peer {
     std::string host;
@@ -78,6 +84,7 @@
     call_correlation egress_correlation{call_correlation::token};
     control_mode mode{control_mode::full};
     placement_rule placement{placement_rule::load};
+    admission_basis admission{admission_basis::count};
     std::string log_level{"info"};
     int span_file_descriptor{-1}; ///< -1 when spans are not written.
     std::string span_url;
--- a/libraries/node/executor.hpp
+++ b/libraries/node/executor.hpp
@@ -2,6 +2,7 @@
 /// and the answers to the entry nodes.
 #pragma once
 
+#include "node/load_accounting.hpp"
 #include "node/node_context.hpp"
 #include "node/own_target.hpp"
 #include "policy/admission_controller.hpp"
@@ -104,6 +105,8 @@
     /// Sets how many requests the own target runs at once according to the host list; 0 when it does not say.
     void set_listed_slots(int count);
     own_target& target() { return this->local_target; }
+    load_accounting& accounting() { return this->load; }
+    load_accounting const& accounting() const { return this->load; }
 
     std::uint64_t ticket_window(time_point now) { return this->tickets.current_window(now); }
     std::size_t in_flight() const { return this->running; }
@@ -154,6 +157,7 @@
     admission_controller controller;
     target_load_estimate load_estimate;
     target_id estimated_target{0};
+    load_accounting load;
     work_queue queue;
     ticket_store<stored_answer> tickets;
     std::unordered_map<std::uint64_t, execution> executions;
