node: Notice a target that restarts without refusing a connection

Cause: a target was taken as cold after a refused connection, or after a second without requests. One whose host stays silent until it has started again, or that resets what is under way and accepts again at once, got its usual load while cold: 101 requests in a second where 26 are allowed. And a target that bears less than one request per second while cold was never used again: nothing was sent, which counted as silence, so that it became cold anew each second.

Change: silence counts from the last answer while requests are under way; two lost answers in a row until nothing is under way count as a restart; silence that the pace causes says nothing; a target that refuses connections while its pace allows no request within 10 s is cold for its cold time from then.

--- a/libraries/node/own_target.cpp
+++ b/libraries/node/own_target.cpp
@@ -19,8 +19,15 @@
 
 /// A process without an event for this long stood still, or its host was suspended.
 constexpr duration freeze_span{1000};
-/// A target that was not heard of for this long may have started again meanwhile.
+/// Longer silence of a target that requests could be sent to tells that it may have started again.
 constexpr duration silence_span{1000};
+/// Answers lost one after the other, with none in between, until nothing is under way.
+constexpr int losses_of_a_restart = 2;
+/// Only a request shows that a target accepts connections again. Where the pace allows none for longer than
+/// this, the target is taken as one that has started when it was last seen to refuse them.
+constexpr duration max_retry_interval{10'000};
+constexpr double milliseconds_per_second = 1000;
+constexpr double min_audible_pace = 1e-6;
 /// A target that nobody has asked for in this span is not checked.
 constexpr duration demand_span{500};
 constexpr std::uint64_t check_id_flag = std::uint64_t{1} << 63U;
@@ -96,17 +103,29 @@
     this->outstanding -= std::min<std::size_t>(this->outstanding, 1);
     bool const is_gone = answer.code == result_code::target_unreachable || answer.refuses_connections;
     if (is_gone) {
-        this->coldness.note_lost(now);
-        this->set_cold_cause("unreachable", now);
+        this->note_unreachable(now);
     } else if (answer.code == result_code::target_replaced) {
         this->assume_cold("replaced", now);
+    } else if (answer.code == result_code::target_crashed) {
+        ++this->losses;
+        if (this->outstanding == 0 && this->losses >= losses_of_a_restart) {
+            this->assume_cold("all_answers_lost", now);
+        }
     } else if (answer.result == outcome::ran || answer.statement) {
+        this->losses = 0;
         this->last_contact = now;
         this->coldness.note_answer(now);
         this->set_cold_cause("reachable_again", now);
     }
 }
 
+void own_target::note_unreachable(time_point now) {
+    this->assume_cold("unreachable", now);
+    if (this->pacer.cold.time_until_token(0, now) <= max_retry_interval) {
+        this->coldness.note_lost(now);
+    }
+}
+
 void own_target::assume_cold(std::string_view reason, time_point now) {
     this->coldness.assume(now);
     this->set_cold_cause(reason, now);
@@ -123,13 +142,21 @@
 void own_target::note_demand(time_point now) {
     this->last_demand = now;
     bool const is_first = this->last_contact.milliseconds == 0;
-    if (is_first || (this->outstanding == 0 && now - this->last_contact >= silence_span)) {
+    if (is_first || now - this->last_contact >= this->longest_silence(now)) {
         this->last_contact = now;
         this->assume_cold(is_first ? "first_contact" : "silence", now);
     }
     this->check_if_due(now);
 }
 
+duration own_target::longest_silence(time_point now) const {
+    if (!this->is_pacing(now)) {
+        return silence_span;
+    }
+    // What the pace itself causes says nothing of the target.
+    return silence_span + duration{milliseconds_per_second / std::max(min_audible_pace, this->pace(now))};
+}
+
 void own_target::set_cold_cause(std::string_view reason, time_point now) {
     bool const is_cold_now = this->pacer.cold.is_configured() && this->coldness.is_cold(now);
     if (is_cold_now && !this->is_cold) {
@@ -150,6 +177,8 @@
         this->pacer.cold.begin(now);
         fields.push_back({"for_ms", rounded(this->coldness.remaining(now).milliseconds)});
     } else {
+        bool const was_audible = this->longest_silence(now) < silence_span + silence_span;
+        this->last_contact = was_audible ? this->last_contact : now;
         bool const was_cold = !this->coldness.is_refuted();
         was_cold ? this->pacer.cold.end(now) : this->pacer.cold.withdraw();
         fields.push_back({"after_ms", rounded((now - this->cold_since).milliseconds)});
@@ -259,8 +288,9 @@
 
 void own_target::record_sent(bool nested, time_point now) {
     this->pacer.record_sent(now);
-    ++this->outstanding;
-    this->last_contact = now;
+    if (this->outstanding++ == 0) {
+        this->last_contact = now;
+    }
     ++this->since_log.sent;
     this->since_log.nested += nested ? 1 : 0;
     this->context.node_metrics.increment_counter("target_requests");
--- a/libraries/node/own_target.hpp
+++ b/libraries/node/own_target.hpp
@@ -86,6 +86,9 @@
     void set_rate_limit(std::optional<double> limit, std::string const& source, time_point now);
     void set_leaving(std::string const& source, time_point now);
     void log_counts(time_point now);
+    void note_unreachable(time_point now);
+    /// A target that was not heard of for longer may have started again meanwhile.
+    duration longest_silence(time_point now) const;
     /// `update_cold` with the reason that is logged if the target is cold from now on.
     void set_cold_cause(std::string_view reason, time_point now);
     /// Fits the pace to what is known of the target now, and logs a change.
@@ -102,7 +105,9 @@
     time_point check_sent;
     std::uint64_t checks_sent{0};
     std::size_t outstanding{0}; ///< Requests at the target.
-    time_point last_contact;    ///< When the target last had a request or answered one.
+    int losses{0};              ///< Answers lost since the last one that was read.
+    /// When the target last answered, or last got a request while it had none.
+    time_point last_contact;
     time_point last_event;
     time_point last_demand;   ///< When a request for the target last arrived.
     target_id incarnation{0}; ///< The last one that the host list named.
--- a/tests/node/cold_target_test.cpp
+++ b/tests/node/cold_target_test.cpp
@@ -64,12 +64,23 @@
         this->up_at = this->now.milliseconds + down_ms;
         this->become_cold(this->up_at);
         this->cold_from = this->up_at; // Its start can be noticed without the list.
+        this->is_dark = false;
         for (auto& due : this->answers_due) {
             due = {this->now.milliseconds,
                    {.id = due.answer.id, .code = result_code::target_crashed, .refuses_connections = true}};
         }
     }
 
+    /// The target's host stays silent until the target has started again under its id: what was sent is lost
+    /// then, and connections are accepted again at once.
+    void go_dark(double down_ms) {
+        this->restart_target(down_ms);
+        this->is_dark = true;
+        for (auto& due : this->answers_due) {
+            due = {this->up_at, {.id = due.answer.id, .code = result_code::target_crashed}};
+        }
+    }
+
     /// Cold without a restart, which only the list tells.
     void become_cold_at_work() {
         this->become_cold(this->now.milliseconds);
@@ -157,6 +168,10 @@
 
     void deliver(target_answer answer) {
         double const at = this->now.milliseconds;
+        if (at < this->up_at && this->is_dark) {
+            return this->answers_due.push_back(
+                {this->up_at, {.id = answer.id, .code = result_code::target_crashed}});
+        }
         if (at < this->up_at) {
             answer = {.id = answer.id, .result = outcome::not_run, .code = result_code::target_unreachable};
             return this->answers_due.push_front({at, answer});
@@ -173,6 +188,7 @@
     std::unique_ptr<node_context> context;
     std::deque<answer_due> answers_due;
     double up_at{0};
+    bool is_dark{false}; ///< While the target is down, nothing is answered.
     double cold_from{0};
     double cold_until{0};
     double list_due{0};
@@ -189,7 +205,7 @@
         double const rate = *rc::gen::inRange(1, 1000);
         cold_tolerance const tolerance{.factor = *rc::gen::inRange(10, 25) / 10.0,
                                        .slack = *rc::gen::inRange(0, 30) * 1.0};
-        auto const moves = *rc::gen::container<std::vector<int>>(12, rc::gen::inRange(0, 6));
+        auto const moves = *rc::gen::container<std::vector<int>>(12, rc::gen::inRange(0, 7));
         auto const demands = *rc::gen::container<std::vector<int>>(12, rc::gen::inRange(0, 20));
         auto const spans = *rc::gen::container<std::vector<int>>(12, rc::gen::inRange(100, 4000));
         cold_bench bench(rate, tolerance);
@@ -211,6 +227,9 @@
             case 4:
                 bench.empty(span);
                 break;
+            case 5:
+                bench.go_dark(min_down_ms + span);
+                break;
             default:
                 break;
             }
@@ -243,6 +262,45 @@
     CHECK(bench.arrivals - before >= 100);
 }
 
+// Nobody was refused a connection: what was under way is lost, and the next connection is accepted.
+TEST_CASE("a target that loses all that is under way at once is taken as started again") {
+    cold_bench bench(12, {.factor = 1.5, .slack = 8});
+    bench.run(4000, 1);
+    bench.go_dark(0);
+    bench.run(cold_span_ms, 1);
+    CHECK(bench.most_in_a_cold_second() <= 26);
+    CHECK(bench.most_in_a_cold_second() > 10);
+    bench.run(2000, 1);
+    auto const before = bench.arrivals;
+    bench.run(1000, 1);
+    CHECK(bench.arrivals - before >= 100);
+}
+
+// Its host is up, but nothing answers and no connection is refused.
+TEST_CASE("a target that does not answer for a second is taken as one that may have started again") {
+    cold_bench bench(12, {.factor = 1.5, .slack = 8});
+    bench.run(4000, 1);
+    bench.go_dark(2500);
+    bench.run(2500 + cold_span_ms, 1);
+    CHECK(bench.most_in_a_cold_second() <= 26);
+    CHECK(bench.most_in_a_cold_second() > 10);
+}
+
+// The bound leaves no room for a single request, so that nothing could show that the target is back.
+TEST_CASE(
+    "a target that accepts less than one request per second while cold is used again after its cold time") {
+    for (double const rate : {0.1, 0.4, 0.9}) {
+        CAPTURE(rate);
+        cold_bench bench(rate, {});
+        bench.run(cold_span_ms + 2000, 1);
+        bench.restart_target(1500);
+        bench.run(1500 + 2 * cold_span_ms + 2000, 1);
+        auto const before = bench.arrivals;
+        bench.run(1000, 1);
+        CHECK(bench.arrivals - before >= 100);
+    }
+}
+
 // Health checks take a slot of the target.
 TEST_CASE("a target with few requests, and one that is busy without pause, is not asked for its state") {
     cold_bench calm(12, {.factor = 1.5, .slack = 8});
