config: Find every mistake of a configuration, not the first of each file

Cause: the review stopped at the first mistake of a file, and at the first one between items, so that an operator mended and checked again for each. A cold rate or cold time of 0, which counts as none, was not seen. Change: reading and the checks between items take a place for mistakes and go on; without one they fail as before, so that the review and a node still share one checker. 0 counts as no cold rate and no cold time; a health path without both is a note.

--- a/libraries/config/configuration.cpp
+++ b/libraries/config/configuration.cpp
@@ -1,5 +1,7 @@
 #include "config/configuration.hpp"
 
+#include "config/mistake_collection.hpp"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -118,29 +120,49 @@
     BOOST_LEAF_CHECK(check_required(configuration_schema(), items));
     auto built = std::make_shared<configuration>();
     built->revision_number = revision;
-    BOOST_LEAF_CHECK(built->add_organisations(items));
-    BOOST_LEAF_CHECK(built->add_keys(items));
-    BOOST_LEAF_CHECK(built->add_services(items));
-    BOOST_LEAF_CHECK(built->add_routes(items));
-    BOOST_LEAF_CHECK(built->add_domains(items));
+    BOOST_LEAF_CHECK(built->add_all(items, nullptr));
     return std::shared_ptr<configuration const>(std::move(built));
 }
 
-result<void> configuration::add_organisations(item_set const& items) {
-    for (auto const& [name, fields] : section_of(items, "organisations")) {
-        if (fields.contains("rate") && !fields.contains("burst")) {
-            return fail_at(result_code::configuration_missing, "'organisations." + name + "' has no 'burst'.",
-                           fields, "rate");
-        }
+std::vector<problem> configuration::find_mistakes(item_set const& items) {
+    std::vector<problem> mistakes;
+    // With a place for mistakes none of these steps fails.
+    (void)check_required(configuration_schema(), items, &mistakes);
+    if (mistakes.empty()) {
+        configuration built;
+        (void)built.add_all(items, &mistakes);
+    }
+    return mistakes;
+}
+
+result<void> configuration::add_all(item_set const& items, std::vector<problem>* mistakes) {
+    BOOST_LEAF_CHECK(this->add_organisations(items, mistakes));
+    BOOST_LEAF_CHECK(this->add_keys(items, mistakes));
+    BOOST_LEAF_CHECK(this->add_services(items));
+    BOOST_LEAF_CHECK(this->add_routes(items, mistakes));
+    return collect_or_fail(mistakes, [&] { return this->add_domains(items); });
+}
+
+result<void> configuration::add_organisations(item_set const& items, std::vector<problem>* mistakes) {
+    for (auto const& entry : section_of(items, "organisations")) {
+        auto const& name = entry.first;
+        auto const& fields = entry.second;
         this->organisation_table[name] = {name, number_or(fields, "rate", 0), number_or(fields, "burst", 1),
                                           number_or(fields, "weight", 1)};
+        BOOST_LEAF_CHECK(collect_or_fail(mistakes, [&]() -> result<void> {
+            if (fields.contains("rate") && !fields.contains("burst")) {
+                return fail_at(result_code::configuration_missing,
+                               "'organisations." + name + "' has no 'burst'.", fields, "rate");
+            }
+            return {};
+        }));
     }
     return {};
 }
 
-result<void> configuration::add_keys(item_set const& items) {
+result<void> configuration::add_keys(item_set const& items, std::vector<problem>* mistakes) {
     std::unordered_map<std::string, std::string> names;
-    for (auto const& [name, fields] : section_of(items, "keys")) {
+    auto const add_key = [&](std::string const& name, field_map const& fields) -> result<void> {
         auto const hash = text_or(fields, "sha256", "");
         auto const owner = text_or(fields, "organisation", "");
         if (!is_hexadecimal(hash)) {
@@ -159,6 +181,10 @@
             return fail_duplicate("keys", section_of(items, "keys"), name, other->second, "hash", "sha256");
         }
         this->key_table[hash] = owner;
+        return {};
+    };
+    for (auto const& entry : section_of(items, "keys")) {
+        BOOST_LEAF_CHECK(collect_or_fail(mistakes, [&] { return add_key(entry.first, entry.second); }));
     }
     return {};
 }
@@ -206,9 +232,9 @@
     return {};
 }
 
-result<void> configuration::add_routes(item_set const& items) {
+result<void> configuration::add_routes(item_set const& items, std::vector<problem>* mistakes) {
     std::map<std::tuple<std::string, std::string, std::string>, std::string> seen;
-    for (auto const& [name, fields] : section_of(items, "routes")) {
+    auto const add_route = [&](std::string const& name, field_map const& fields) -> result<void> {
         route entry{.name = name,
                     .method = text_or(fields, "method", ""),
                     .authority = text_or(fields, "authority", ""),
@@ -239,6 +265,10 @@
                                   "method and path", "path");
         }
         this->route_list.push_back(std::move(entry));
+        return {};
+    };
+    for (auto const& entry : section_of(items, "routes")) {
+        BOOST_LEAF_CHECK(collect_or_fail(mistakes, [&] { return add_route(entry.first, entry.second); }));
     }
     std::ranges::stable_sort(this->route_list, std::greater{},
                              [](route const& entry) { return entry.path.size(); });
--- a/libraries/config/configuration.hpp
+++ b/libraries/config/configuration.hpp
@@ -73,6 +73,9 @@
 public:
     /// Checks the items against each other; fails as a whole when any check fails.
     static result<std::shared_ptr<configuration const>> create(item_set const& items, std::uint64_t revision);
+    /// Every mistake that `create` would fail for, in place of the first one. Items that lack a required
+    /// field are found before the others are checked.
+    static std::vector<problem> find_mistakes(item_set const& items);
 
     std::uint64_t revision() const { return this->revision_number; }
     std::unordered_map<std::string, organisation> const& organisations() const {
@@ -98,10 +101,12 @@
     route const* find_route_by_name(std::string_view name) const;
 
 private:
-    result<void> add_organisations(item_set const& items);
-    result<void> add_keys(item_set const& items);
+    /// The same for all: with `mistakes`, each mistake is added there and the rest is built.
+    result<void> add_all(item_set const& items, std::vector<problem>* mistakes);
+    result<void> add_organisations(item_set const& items, std::vector<problem>* mistakes);
+    result<void> add_keys(item_set const& items, std::vector<problem>* mistakes);
     result<void> add_services(item_set const& items);
-    result<void> add_routes(item_set const& items);
+    result<void> add_routes(item_set const& items, std::vector<problem>* mistakes);
     result<void> check_route(route const& entry, field_map const& fields) const;
     void index_routes();
     result<void> add_domains(item_set const& items);
--- a/libraries/config/configuration_review.cpp
+++ b/libraries/config/configuration_review.cpp
@@ -193,12 +193,19 @@
                 this->report(finding_severity::warning, "services", name, "slots",
                              "More slots than connections: a target runs one request on each connection.");
             }
-            bool const has_cold_rate = find_field(fields, "cold_rate") != nullptr;
-            if (has_cold_rate != (find_field(fields, "cold_ms") != nullptr)) {
-                this->report(finding_severity::warning, "services", name,
-                             has_cold_rate ? "cold_rate" : "cold_ms",
-                             "A cold rate and a cold time have an effect only together.");
-            }
+            this->review_cold_pace(name, fields);
+        }
+    }
+
+    void review_cold_pace(std::string const& service, field_map const& fields) {
+        bool const has_rate = number_or(fields, "cold_rate", 0) > 0;
+        bool const has_time = number_or(fields, "cold_ms", 0) > 0;
+        if (has_rate != has_time) {
+            this->report(finding_severity::warning, "services", service, has_rate ? "cold_rate" : "cold_ms",
+                         "A cold rate and a cold time have an effect only together, and 0 counts as none.");
+        } else if (!has_rate && find_field(fields, "health_path") != nullptr) {
+            this->report(finding_severity::note, "services", service, "health_path",
+                         "The path is asked only where the service has a cold rate and a cold time.");
         }
     }
 
@@ -264,7 +271,13 @@
     });
 }
 
-void review_valid_items(configuration_review& review) {
+void review_read_items(configuration_review& review) {
+    for (auto const& mistake : configuration::find_mistakes(review.items)) {
+        review.findings.push_back(error_of(mistake, review.items));
+    }
+    if (!review.findings.empty()) {
+        return;
+    }
     attempt_or(
         [&]() -> result<bool> {
             // The bundle is what nodes get, so that its limits of size are checked, too.
@@ -387,21 +400,24 @@
 
 configuration_review review_files(std::vector<std::filesystem::path> const& files) {
     configuration_review review;
-    auto const read = [&review](std::filesystem::path const& file) {
-        auto before = review.items;
+    auto const add_error = [&review](problem const& cause, std::filesystem::path const& file) {
+        auto entry = error_of(cause, {});
+        entry.file = entry.file.empty() ? file.string() : entry.file;
+        review.findings.push_back(std::move(entry));
+        return false;
+    };
+    auto const read = [&](std::filesystem::path const& file) {
+        std::vector<problem> mistakes;
         attempt_or(
             [&]() -> result<bool> {
-                BOOST_LEAF_CHECK(
-                    read_toml_file(file, file_layout::named_items, configuration_schema(), review.items));
+                BOOST_LEAF_CHECK(read_toml_file(file, file_layout::named_items, configuration_schema(),
+                                                review.items, &mistakes));
                 return true;
             },
-            [&](problem const& cause) {
-                auto entry = error_of(cause, {});
-                entry.file = entry.file.empty() ? file.string() : entry.file;
-                review.findings.push_back(std::move(entry));
-                review.items = std::move(before);
-                return false;
-            });
+            [&](problem const& cause) { return add_error(cause, file); });
+        for (auto const& mistake : mistakes) {
+            add_error(mistake, file);
+        }
     };
     for (auto const& file : files) {
         std::error_code ignored;
@@ -415,13 +431,10 @@
                 std::ranges::for_each(members, read);
                 return true;
             },
-            [&](problem const& cause) {
-                review.findings.push_back(error_of(cause, {}));
-                return false;
-            });
+            [&](problem const& cause) { return add_error(cause, file); });
     }
     if (review.findings.empty()) {
-        review_valid_items(review);
+        review_read_items(review);
     }
     sort_findings(review.findings);
     return review;
@@ -429,7 +442,7 @@
 
 configuration_review review_items(item_set items) {
     configuration_review review{.items = std::move(items)};
-    review_valid_items(review);
+    review_read_items(review);
     sort_findings(review.findings);
     return review;
 }
--- a/libraries/config/configuration_review.hpp
+++ b/libraries/config/configuration_review.hpp
@@ -34,8 +34,8 @@
     bool is_valid{false};          ///< Whether a node would accept the configuration.
 };
 
-/// Reads the files, merged in this order, of which each may be a folder. A file that can't be read or is
-/// wrong is reported and left out; the others are read all the same.
+/// Reads the files, merged in this order, of which each may be a folder. Every mistake is reported and what
+/// is wrong left out; the items are compared with each other only when there is none.
 configuration_review review_files(std::vector<std::filesystem::path> const& files);
 
 /// Reviews items that have been read without a mistake.
--- a/libraries/config/item_set.cpp
+++ b/libraries/config/item_set.cpp
@@ -1,5 +1,7 @@
 #include "config/item_set.hpp"
 
+#include "config/mistake_collection.hpp"
+
 #include <toml++/toml.h>
 
 #include <algorithm>
@@ -66,18 +68,23 @@
 }
 
 result<void> read_fields(toml::table const& table, std::string const& file, std::string const& section,
-                         std::span<field const> schema, field_map& fields) {
-    for (auto const& [key, node] : table) {
-        std::string const name(key.str());
-        BOOST_LEAF_AUTO(value, to_located_value(node, file, section + "." + name));
-        BOOST_LEAF_CHECK(check_value(schema, section, name, value));
-        fields[name] = std::move(value);
+                         std::span<field const> schema, field_map& fields, std::vector<problem>* mistakes) {
+    for (auto const& entry : table) {
+        auto const& node = entry.second;
+        std::string const name(entry.first.str());
+        BOOST_LEAF_CHECK(collect_or_fail(mistakes, [&]() -> result<void> {
+            BOOST_LEAF_AUTO(value, to_located_value(node, file, section + "." + name));
+            BOOST_LEAF_CHECK(check_value(schema, section, name, value));
+            fields[name] = std::move(value);
+            return {};
+        }));
     }
     return {};
 }
 
 result<void> read_section(std::string const& section, toml::node const& node, std::string const& file,
-                          file_layout shape, std::span<field const> schema, item_set& items) {
+                          file_layout shape, std::span<field const> schema, item_set& items,
+                          std::vector<problem>* mistakes) {
     bool const known =
         std::ranges::any_of(schema, [&](field const& entry) { return entry.section == section; });
     if (!known) {
@@ -90,16 +97,19 @@
                      line_of(node)});
     }
     if (shape == file_layout::plain_tables) {
-        return read_fields(*table, file, section, schema, items[section][""]);
-    }
-    for (auto const& [key, item] : *table) {
-        std::string const name(key.str());
-        auto const* fields = item.as_table();
-        if (fields == nullptr || name.empty()) {
-            return fail({result_code::configuration_wrong_type,
-                         "'" + section + "." + name + "' must be a named table.", file, line_of(item)});
-        }
-        BOOST_LEAF_CHECK(read_fields(*fields, file, section, schema, items[section][name]));
+        return read_fields(*table, file, section, schema, items[section][""], mistakes);
+    }
+    for (auto const& entry : *table) {
+        auto const& item = entry.second;
+        std::string const name(entry.first.str());
+        BOOST_LEAF_CHECK(collect_or_fail(mistakes, [&]() -> result<void> {
+            auto const* fields = item.as_table();
+            if (fields == nullptr || name.empty()) {
+                return fail({result_code::configuration_wrong_type,
+                             "'" + section + "." + name + "' must be a named table.", file, line_of(item)});
+            }
+            return read_fields(*fields, file, section, schema, items[section][name], mistakes);
+        }));
     }
     return {};
 }
@@ -137,7 +147,8 @@
     return {};
 }
 
-result<void> check_required(std::span<field const> schema, item_set const& items) {
+result<void> check_required(std::span<field const> schema, item_set const& items,
+                            std::vector<problem>* mistakes) {
     for (auto const& [section, section_items] : items) {
         for (auto const& [name, fields] : section_items) {
             for (auto const& entry : schema) {
@@ -146,8 +157,11 @@
                 }
                 auto const item = name.empty() ? section : section + "." + name;
                 located_value const place = fields.empty() ? located_value{} : fields.begin()->second;
-                return fail(problem_at(result_code::configuration_missing,
-                                       "'" + item + "' has no '" + std::string(entry.name) + "'.", place));
+                BOOST_LEAF_CHECK(collect_or_fail(mistakes, [&]() -> result<void> {
+                    return fail(problem_at(result_code::configuration_missing,
+                                           "'" + item + "' has no '" + std::string(entry.name) + "'.",
+                                           place));
+                }));
             }
         }
     }
@@ -155,7 +169,7 @@
 }
 
 result<void> read_toml_text(std::string const& text, std::string const& file, file_layout shape,
-                            std::span<field const> schema, item_set& items) {
+                            std::span<field const> schema, item_set& items, std::vector<problem>* mistakes) {
     toml::table table;
     try {
         table = toml::parse(text, file);
@@ -165,14 +179,17 @@
         return fail({duplicate ? result_code::configuration_duplicate : result_code::configuration_syntax,
                      message + ".", file, static_cast<int>(error.source().begin.line)});
     }
-    for (auto const& [key, node] : table) {
-        BOOST_LEAF_CHECK(read_section(std::string(key.str()), node, file, shape, schema, items));
+    for (auto const& entry : table) {
+        auto const& node = entry.second;
+        std::string const section(entry.first.str());
+        BOOST_LEAF_CHECK(collect_or_fail(
+            mistakes, [&] { return read_section(section, node, file, shape, schema, items, mistakes); }));
     }
     return {};
 }
 
 result<void> read_toml_file(std::filesystem::path const& path, file_layout shape,
-                            std::span<field const> schema, item_set& items) {
+                            std::span<field const> schema, item_set& items, std::vector<problem>* mistakes) {
     std::ifstream stream(path, std::ios::binary);
     // No more than this is read, whatever the size of the file.
     std::string content(max_value_bytes + 1, '\0');
@@ -185,7 +202,7 @@
         return fail({result_code::configuration_too_large,
                      "The file is over " + std::to_string(max_value_bytes) + " bytes.", path.string()});
     }
-    return read_toml_text(content, path.string(), shape, schema, items);
+    return read_toml_text(content, path.string(), shape, schema, items, mistakes);
 }
 
 result<std::vector<std::filesystem::path>> list_configuration_folder(std::filesystem::path const& folder) {
--- a/libraries/config/item_set.hpp
+++ b/libraries/config/item_set.hpp
@@ -33,16 +33,20 @@
 result<void> check_value(std::span<field const> schema, std::string const& section, std::string const& name,
                          located_value const& value);
 
-/// Fails when an item lacks a required field.
-result<void> check_required(std::span<field const> schema, item_set const& items);
+/// Fails when an item lacks a required field. With `mistakes`, each missing field is added there instead.
+result<void> check_required(std::span<field const> schema, item_set const& items,
+                            std::vector<problem>* mistakes = nullptr);
 
-/// Reads one TOML file into `items`; its fields replace those that are already there.
+/// Reads one TOML file into `items`; its fields replace those that are already there. With `mistakes`, a
+/// wrong value is left out and its mistake added there; without, the first one fails.
 result<void> read_toml_file(std::filesystem::path const& path, file_layout shape,
-                            std::span<field const> schema, item_set& items);
+                            std::span<field const> schema, item_set& items,
+                            std::vector<problem>* mistakes = nullptr);
 
 /// Like `read_toml_file`, for text; `file` is the name in error messages.
 result<void> read_toml_text(std::string const& text, std::string const& file, file_layout shape,
-                            std::span<field const> schema, item_set& items);
+                            std::span<field const> schema, item_set& items,
+                            std::vector<problem>* mistakes = nullptr);
 
 /// The "*.toml" files of the operators' folder in the order of their names; fails when there is none.
 result<std::vector<std::filesystem::path>> list_configuration_folder(std::filesystem::path const& folder);
--- a/tests/config/configuration_review_test.cpp
+++ b/tests/config/configuration_review_test.cpp
@@ -104,6 +104,9 @@
          "routes.a.retry_allowance", 5},
         {"[routes.a]\npath = \"/x\"\nsplit = \"orders=1,orders=0\"\nidempotent = true\n", note,
          "routes.a.split", 3},
+        {"[services.b]\nconnections = 5\ncold_rate = 0\ncold_ms = 5000\n", warning, "services.b.cold_ms", 4},
+        {"[services.b]\nconnections = 5\ncold_rate = 20\ncold_ms = 0\n", warning, "services.b.cold_rate", 3},
+        {"[services.b]\nconnections = 5\nhealth_path = \"/up\"\n", note, "services.b.health_path", 3},
         {"[organisations.empty]\nrate = 5\nburst = 5\n", warning, "organisations.empty", 3},
         {"[failure_domains.a]\nweight = 0.99\n[failure_domains.b]\nweight = 0.01\n", warning,
          "organisations.north.burst", 4 - last_line},
@@ -143,6 +146,30 @@
     }
 }
 
+TEST_CASE("every mistake of a file is found, and every one between items") {
+    review_folder const folder;
+    auto const keys_of = [&folder](std::string const& content) {
+        auto const review = review_files({folder.write("all.toml", content)});
+        CHECK_FALSE(review.is_valid);
+        std::vector<std::string> keys;
+        for (auto const& entry : review.findings) {
+            CHECK(entry.severity == finding_severity::error);
+            CHECK(entry.line > 0);
+            keys.push_back(entry.key);
+        }
+        return keys;
+    };
+    using keys = std::vector<std::string>;
+    CHECK(keys_of("[organisations.a]\nrate = \"much\"\nburts = 3\nweight = 0\n[rotues.b]\nx = 1\n") ==
+          keys{"organisations.rate", "organisations.burts", "organisations.weight", "rotues"});
+    CHECK(keys_of("[routes.a]\npath = \"/a\"\n[keys.b]\nsha256 = \"" + std::string(64, '0') + "\"\n") ==
+          keys{"routes.a.path", "keys.b.sha256"});
+    CHECK(keys_of("[organisations.a]\nrate = 5\n[keys.b]\norganisation = \"none\"\nsha256 = \"" +
+                  std::string(64, '0') +
+                  "\"\n[routes.a]\npath = \"/a\"\nidempotent = true\nservice = \"gone\"\n") ==
+          keys{"organisations.a.rate", "keys.b.organisation", "routes.a.service"});
+}
+
 TEST_CASE("missing, endless and huge files, damaged bytes and empty folders are findings") {
     review_folder const folder;
     auto const is_error = [](std::filesystem::path const& file) {
