--- a/libraries/config/configuration_review.cpp
+++ b/libraries/config/configuration_review.cpp
@@ -1,9 +1,11 @@
 #include "config/configuration_review.hpp"
 
+#include "base/digest.hpp"
 #include "config/bundle.hpp"
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <iomanip>
 #include <set>
 #include <sstream>
@@ -61,6 +63,34 @@
             .line = cause.line};
 }
 
+/// `field_name`: the field to name as the place; the item's first one when it has no such field.
+finding finding_at(finding_severity severity, item_set const& items, std::string const& section,
+                   std::string const& name, std::string const& field_name, std::string message) {
+    auto const& fields = section_of(items, section).at(name);
+    auto const* place = find_field(fields, field_name);
+    auto key = section + "." + name + (place == nullptr ? "" : "." + field_name);
+    if (place == nullptr && !fields.empty()) {
+        place = &fields.begin()->second;
+    }
+    return {.severity = severity,
+            .key = std::move(key),
+            .message = std::move(message),
+            .file = place == nullptr ? "" : place->file,
+            .line = place == nullptr ? 0 : place->line};
+}
+
+std::string text_field(field_map const& fields, std::string const& name) {
+    auto const* found = find_field(fields, name);
+    auto const* content = found == nullptr ? nullptr : std::get_if<std::string>(&found->value);
+    return content == nullptr ? std::string{} : *content;
+}
+
+bool leads_to(field_map const& route, std::string const& service) {
+    auto const split = text_field(route, "split");
+    return split.empty() ? text_field(route, "service") == service
+                         : ("," + split).find("," + service + "=") != std::string::npos;
+}
+
 /// Applies the rules to a configuration that the nodes accept.
 class reviewer {
 public:
@@ -75,20 +105,10 @@
     }
 
 private:
-    /// `field_name`: the field to name as the place; the item's first one when it has no such field.
     void report(finding_severity severity, std::string const& section, std::string const& name,
                 std::string const& field_name, std::string message) {
-        auto const& fields = section_of(this->items, section).at(name);
-        auto const* place = find_field(fields, field_name);
-        auto key = section + "." + name + (place == nullptr ? "" : "." + field_name);
-        if (place == nullptr && !fields.empty()) {
-            place = &fields.begin()->second;
-        }
-        this->findings.push_back({.severity = severity,
-                                  .key = std::move(key),
-                                  .message = std::move(message),
-                                  .file = place == nullptr ? "" : place->file,
-                                  .line = place == nullptr ? 0 : place->line});
+        this->findings.push_back(
+            finding_at(severity, this->items, section, name, field_name, std::move(message)));
     }
 
     void review_routes() {
@@ -248,7 +268,10 @@
         bool const all_open = !this->compiled.routes().empty() &&
                               std::ranges::all_of(this->compiled.routes(), &route::allows_anonymous);
         for (auto const& [name, fields] : section_of(this->items, "keys")) {
-            if (this->compiled.routes().empty()) {
+            if (std::get<std::string>(fields.at("sha256").value) == sha256_hex("")) {
+                this->report(finding_severity::warning, "keys", name, "sha256",
+                             "The hash is that of an empty key, which no request can show.");
+            } else if (this->compiled.routes().empty()) {
                 this->report(finding_severity::warning, "keys", name, "",
                              "There is no route that the key could be used on.");
             } else if (all_open) {
@@ -317,10 +340,8 @@
     }
 }
 
-std::string text_field(field_map const& fields, std::string const& name) {
-    auto const* found = find_field(fields, name);
-    auto const* content = found == nullptr ? nullptr : std::get_if<std::string>(&found->value);
-    return content == nullptr ? std::string{} : *content;
+std::string rate_text(double requests_per_second) {
+    return std::to_string(std::llround(requests_per_second)) + " requests/s";
 }
 
 std::string count_text(std::size_t count, std::string const& what) {
@@ -338,10 +359,7 @@
 std::string routes_to_service(item_set const& items, std::string const& service) {
     std::size_t count = 0;
     for (auto const& [name, fields] : section_of(items, "routes")) {
-        bool const leads_there =
-            text_field(fields, "service") == service ||
-            ("," + text_field(fields, "split")).find("," + service + "=") != std::string::npos;
-        count += leads_there ? 1 : 0;
+        count += leads_to(fields, service) ? 1 : 0;
     }
     return count_text(count, "route") + " to this service";
 }
@@ -447,6 +465,42 @@
     return review;
 }
 
+std::vector<finding> review_capacities(item_set const& items,
+                                       std::map<std::string, service_capacity> const& capacities) {
+    std::vector<finding> findings;
+    double carried = 0;
+    bool all_known = true;
+    for (auto const& [service, fields] : section_of(items, "services")) {
+        auto const known = capacities.find(service);
+        bool const is_entered =
+            std::ranges::any_of(section_of(items, "routes"), [&service = service](auto const& route) {
+                return leads_to(route.second, service);
+            });
+        if (known == capacities.end()) {
+            all_known = all_known && !is_entered;
+            continue;
+        }
+        carried += is_entered ? known->second.requests_per_second : 0;
+        auto const cold_rate = number_or(fields, "cold_rate", 0);
+        if (cold_rate > known->second.requests_per_second_and_target) {
+            findings.push_back(finding_at(finding_severity::warning, items, "services", service, "cold_rate",
+                                          "The cold rate is above what a target carries now, " +
+                                              rate_text(known->second.requests_per_second_and_target) +
+                                              ", so that it holds nothing."));
+        }
+    }
+    for (auto const& [name, fields] : section_of(items, "organisations")) {
+        if (all_known && number_or(fields, "rate", 0) > carried) {
+            findings.push_back(finding_at(finding_severity::warning, items, "organisations", name, "rate",
+                                          "The rate is above what all services that routes lead to carry "
+                                          "now together, " +
+                                              rate_text(carried) + "."));
+        }
+    }
+    sort_findings(findings);
+    return findings;
+}
+
 std::vector<configuration_difference> compare_items(item_set const& current, item_set const& wanted) {
     std::vector<configuration_difference> differences;
     for (auto const& [section, wanted_items] : wanted) {
--- a/libraries/config/configuration_review.hpp
+++ b/libraries/config/configuration_review.hpp
@@ -8,7 +8,7 @@
 #include "config/item_set.hpp"
 
 #include <filesystem>
-#include <optional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -41,6 +41,17 @@
 /// Reviews items that have been read without a mistake.
 configuration_review review_items(item_set items);
 
+/// What the targets of a service can do now, as the nodes measure it.
+struct service_capacity {
+    double requests_per_second{0};            ///< Of all targets together.
+    double requests_per_second_and_target{0}; ///< Of the fastest one.
+};
+
+/// Finds limits of valid items that contradict what the services carry, by service. Services that are not
+/// named are not known, and nothing is compared with them.
+std::vector<finding> review_capacities(item_set const& items,
+                                       std::map<std::string, service_capacity> const& capacities);
+
 /// What an operator changes by publishing `wanted` in place of `current`.
 struct configuration_difference {
     enum class kind : std::uint8_t { added, removed, changed };
--- a/tests/config/configuration_review_test.cpp
+++ b/tests/config/configuration_review_test.cpp
@@ -107,6 +107,9 @@
         {"[services.b]\nconnections = 5\ncold_rate = 0\ncold_ms = 5000\n", warning, "services.b.cold_ms", 4},
         {"[services.b]\nconnections = 5\ncold_rate = 20\ncold_ms = 0\n", warning, "services.b.cold_rate", 3},
         {"[services.b]\nconnections = 5\nhealth_path = \"/up\"\n", note, "services.b.health_path", 3},
+        {"[keys.none]\norganisation = \"north\"\n"
+         "sha256 = \"e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855\"\n",
+         warning, "keys.none.sha256", 3},
         {"[organisations.empty]\nrate = 5\nburst = 5\n", warning, "organisations.empty", 3},
         {"[failure_domains.a]\nweight = 0.99\n[failure_domains.b]\nweight = 0.01\n", warning,
          "organisations.north.burst", 4 - last_line},
@@ -146,6 +149,26 @@
     }
 }
 
+TEST_CASE("limits above what the services carry are found, where that is known of all") {
+    auto const items =
+        read(good + "[services.late]\nconnections = 5\ncold_rate = 30\ncold_ms = 900\n"
+                    "[routes.late]\npath = \"/late\"\nservice = \"late\"\nidempotent = true\n");
+    auto const keys_for = [&items](std::map<std::string, service_capacity> const& capacities) {
+        std::vector<std::string> keys;
+        for (auto const& entry : review_capacities(items, capacities)) {
+            CHECK(entry.severity == finding_severity::warning);
+            CHECK(entry.line > 0);
+            keys.push_back(entry.key);
+        }
+        return keys;
+    };
+    using keys = std::vector<std::string>;
+    CHECK(keys_for({{"orders", {60, 30}}, {"late", {50, 40}}}) == keys{});
+    CHECK(keys_for({{"orders", {60, 30}}, {"late", {39, 40}}}) == keys{"organisations.north.rate"});
+    CHECK(keys_for({{"orders", {600, 30}}, {"late", {50, 25}}}) == keys{"services.late.cold_rate"});
+    CHECK(keys_for({{"orders", {60, 30}}}) == keys{});
+}
+
 TEST_CASE("every mistake of a file is found, and every one between items") {
     review_folder const folder;
     auto const keys_of = [&folder](std::string const& content) {
--- a/utilities/carawayctl/commands.cpp
+++ b/utilities/carawayctl/commands.cpp
@@ -71,7 +71,8 @@
               << compiled->routes().size() << " routes; " << new_bundle.values.size()
               << " values, the largest of " << largest << " bytes\n";
     for (auto const& entry : review_items(items).findings) {
-        std::cout << colourise(line, "note", "33") << ": " << entry.key << ": " << entry.message << '\n';
+        std::cout << colourise(line, std::string(name_of(entry.severity)), "33") << ": " << entry.key << ": "
+                  << entry.message << '\n';
     }
     return exit_success;
 }
--- a/utilities/carawayctl/configuration_check.cpp
+++ b/utilities/carawayctl/configuration_check.cpp
@@ -11,7 +11,9 @@
 #include <algorithm>
 #include <filesystem>
 #include <iostream>
+#include <map>
 #include <optional>
+#include <set>
 
 namespace caraway {
 
@@ -67,6 +69,58 @@
                                   std::move(items)};
 }
 
+/// Adds what the node at hand says of the targets: by host, since several nodes know the same ones.
+struct measured_target {
+    std::string service;
+    double limit{0};
+    double request_ms{0};
+};
+
+void add_measured_targets(std::string const& status, std::map<std::string, measured_target>& targets) {
+    auto const peers =
+        QJsonDocument::fromJson(QByteArray::fromStdString(status)).object().value("peers").toArray();
+    for (auto const& row : peers) {
+        auto const peer = row.toObject();
+        targets[peer.value("host").toString().toStdString()] = {
+            peer.value("service").toString().toStdString(), peer.value("limit").toDouble(),
+            peer.value("request_ms").toDouble()};
+    }
+}
+
+/// What the services carry by the measured length of their requests. A service is left out unless it is known
+/// of all its targets.
+std::map<std::string, service_capacity> measure_capacities(std::vector<std::string> const& nodes,
+                                                           item_set const& items) {
+    std::map<std::string, measured_target> targets;
+    for (auto const& node : nodes) {
+        attempt_or(
+            [&]() -> result<bool> {
+                BOOST_LEAF_AUTO(status, http_get("http://" + node + "/status"));
+                add_measured_targets(status, targets);
+                return true;
+            },
+            [](problem const&) { return false; });
+    }
+    constexpr double ms_per_second = 1000;
+    auto const services = items.find("services");
+    std::map<std::string, service_capacity> capacities;
+    std::set<std::string> unknown;
+    for (auto const& [host, target] : targets) {
+        if (target.request_ms <= 0 || services == items.end() || !services->second.contains(target.service)) {
+            unknown.insert(target.service);
+            continue;
+        }
+        auto const* configured = find_field(services->second.at(target.service), "slots");
+        double const slots = configured == nullptr ? target.limit : std::get<double>(configured->value);
+        double const carried = slots * ms_per_second / target.request_ms;
+        auto& known = capacities[target.service];
+        known.requests_per_second += carried;
+        known.requests_per_second_and_target = std::max(known.requests_per_second_and_target, carried);
+    }
+    std::erase_if(capacities, [&unknown](auto const& entry) { return unknown.contains(entry.first); });
+    return capacities;
+}
+
 /// What is compared with may be wrong in ways that only matter to nodes, but has to be readable.
 result<compared_configuration> read_compared(command_line const& line) {
     if (line.against == in_force) {
@@ -130,6 +184,56 @@
     }
 }
 
+/// What a comparison was asked for and gave. Nothing is compared when the files have errors.
+struct comparison {
+    std::optional<compared_configuration> with;
+    std::optional<problem> failure;
+    std::vector<configuration_difference> differences;
+};
+
+/// With nodes to ask, also adds to the review what contradicts their measurements.
+comparison compare(command_line const& line, configuration_review& review) {
+    comparison compared;
+    if (line.against.empty() || !review.is_valid) {
+        return compared;
+    }
+    attempt_or(
+        [&]() -> result<bool> {
+            BOOST_LEAF_ASSIGN(compared.with, read_compared(line));
+            compared.differences = compare_items(compared.with->items, review.items);
+            return true;
+        },
+        [&compared](problem const& cause) {
+            compared.failure = cause;
+            return false;
+        });
+    if (compared.with && line.against == in_force) {
+        auto const found = review_capacities(review.items, measure_capacities(line.nodes, review.items));
+        review.findings.insert(review.findings.end(), found.begin(), found.end());
+    }
+    return compared;
+}
+
+void print_json(configuration_review const& review, comparison const& compared) {
+    QJsonObject object{{"valid", review.is_valid}, {"findings", rows_to_json(review.findings)}};
+    if (compared.with) {
+        object.insert("against", text(compared.with->name));
+        object.insert("differences", rows_to_json(compared.differences));
+    } else if (compared.failure) {
+        object.insert("against_failure", text(compared.failure->message));
+    }
+    std::cout << QJsonDocument(object).toJson(QJsonDocument::Indented).toStdString();
+}
+
+void print_comparison(command_line const& line, comparison const& compared) {
+    if (compared.with) {
+        std::cout << compared.differences.size() << " differences from " << compared.with->name << '\n';
+        std::ranges::for_each(compared.differences, print_difference);
+    } else if (!line.against.empty()) {
+        std::cout << (compared.failure ? "Not compared.\n" : "Not compared: mend the errors first.\n");
+    }
+}
+
 int exit_code_for(configuration_review const& review) {
     if (!review.is_valid) {
         return exit_problem;
@@ -148,28 +252,16 @@
                                  : "'config' needs: check FILE...\n");
         return exit_usage;
     }
-    auto const review = review_files({line.operands.begin() + 1, line.operands.end()});
-    std::optional<compared_configuration> compared;
-    std::vector<configuration_difference> differences;
-    if (!line.against.empty() && review.is_valid) {
-        BOOST_LEAF_ASSIGN(compared, read_compared(line));
-        differences = compare_items(compared->items, review.items);
-    }
+    auto review = review_files({line.operands.begin() + 1, line.operands.end()});
+    auto const compared = compare(line, review);
     if (line.json) {
-        QJsonObject object{{"valid", review.is_valid}, {"findings", rows_to_json(review.findings)}};
-        if (compared) {
-            object.insert("against", text(compared->name));
-            object.insert("differences", rows_to_json(differences));
-        }
-        std::cout << QJsonDocument(object).toJson(QJsonDocument::Indented).toStdString();
-        return exit_code_for(review);
+        print_json(review, compared);
+    } else {
+        print_findings(line, review);
+        print_comparison(line, compared);
     }
-    print_findings(line, review);
-    if (compared) {
-        std::cout << differences.size() << " differences from " << compared->name << '\n';
-        std::ranges::for_each(differences, print_difference);
-    } else if (!line.against.empty()) {
-        std::cout << "Not compared: mend the errors first.\n";
+    if (compared.failure) {
+        return fail(*compared.failure);
     }
     return exit_code_for(review);
 }
