link: Write numbers in the shortest form that keeps their value

Change: CBOR's half and single precision where they are exact, which also shortens the admission fractions. Message format 6.

--- a/libraries/link/codec.cpp
+++ b/libraries/link/codec.cpp
@@ -3,8 +3,11 @@
 #include <QByteArray>
 #include <QCborStreamReader>
 #include <QCborStreamWriter>
+#include <qfloat16.h>
 
+#include <cmath>
 #include <concepts>
+#include <limits>
 #include <type_traits>
 
 namespace caraway {
@@ -38,10 +41,26 @@
     }
 
 private:
+    /// In the shortest form that keeps the exact value: most numbers are whole, or fractions like 1.
+    void write_number(double value) {
+        bool const in_range = std::abs(value) <= std::numeric_limits<float>::max();
+        auto const single = in_range ? static_cast<float>(value) : 0.0F;
+        auto const half = static_cast<qfloat16>(single);
+        if (!in_range || static_cast<double>(single) != value) {
+            this->stream.append(value);
+        } else if (static_cast<float>(half) != single) {
+            this->stream.append(single);
+        } else {
+            this->stream.append(half);
+        }
+    }
+
     template <typename T>
     void write(T& value) {
-        if constexpr (std::same_as<T, bool> || std::same_as<T, double>) {
+        if constexpr (std::same_as<T, bool>) {
             this->stream.append(value);
+        } else if constexpr (std::same_as<T, double>) {
+            this->write_number(value);
         } else if constexpr (std::is_enum_v<T>) {
             this->stream.append(static_cast<quint64>(value));
         } else if constexpr (std::signed_integral<T>) {
@@ -97,6 +116,19 @@
         this->stream.next();
     }
 
+    void read_number(double& value) {
+        if (this->stream.isFloat16()) {
+            value = static_cast<double>(static_cast<float>(this->stream.toFloat16()));
+        } else if (this->stream.isFloat()) {
+            value = static_cast<double>(this->stream.toFloat());
+        } else if (this->stream.isDouble()) {
+            value = this->stream.toDouble();
+        } else {
+            return this->reject();
+        }
+        this->stream.next();
+    }
+
     template <typename T>
     void read_enum(T& value) {
         std::underlying_type_t<T> number{};
@@ -171,11 +203,7 @@
             value = this->stream.toBool();
             this->stream.next();
         } else if constexpr (std::same_as<T, double>) {
-            if (!this->stream.isDouble()) {
-                return this->reject();
-            }
-            value = this->stream.toDouble();
-            this->stream.next();
+            this->read_number(value);
         } else if constexpr (std::is_enum_v<T>) {
             this->read_enum(value);
         } else if constexpr (std::signed_integral<T>) {
--- a/libraries/link/handshake.cpp
+++ b/libraries/link/handshake.cpp
@@ -9,7 +9,7 @@
 constexpr std::size_t nonce_bytes = 16;
 /// Part of every proof, so that two nodes with different message formats refuse each other's links. It must
 /// change with the fields or the order of any message.
-constexpr std::string_view message_format = "format 5";
+constexpr std::string_view message_format = "format 6";
 
 auto refuse(std::string message) {
     return fail({result_code::link_unauthenticated, std::move(message)});
--- a/tests/link/codec_test.cpp
+++ b/tests/link/codec_test.cpp
@@ -3,6 +3,9 @@
 #include "link/codec.hpp"
 #include "support/property.hpp"
 
+#include <cmath>
+#include <limits>
+
 using namespace caraway;
 
 namespace {
@@ -89,6 +92,30 @@
     });
 }
 
+TEST_CASE("a number keeps its exact value and is written in the shortest form that does") {
+    auto const bytes_of = [](double value) {
+        auto const bytes = encode(forward_message{.deadline_ms = value});
+        auto const read = try_decode(bytes);
+        REQUIRE(read.has_value());
+        auto const result = std::get<forward_message>(*read).deadline_ms;
+        CHECK((result == value || (std::isnan(result) && std::isnan(value))));
+        CHECK(std::signbit(result) == std::signbit(value));
+        return bytes.size();
+    };
+    auto const shortest = bytes_of(0);
+    for (double const value : {-0.0, 1.0, 0.5, 2048.0, 87.25, 65504.0}) {
+        CHECK(bytes_of(value) == shortest);
+    }
+    for (double const value : {2049.0, 1234.75, 70000.0, -1048577.5}) {
+        CHECK(bytes_of(value) == shortest + 2);
+    }
+    for (double const value : {1.0 / 3, 1e300, -1e39, 123456789.5, std::numeric_limits<double>::max(),
+                               std::numeric_limits<double>::infinity(), std::nan("")}) {
+        CHECK(bytes_of(value) == shortest + 6);
+    }
+    caraway::tests::check_property("exact numbers", [&] { bytes_of(*rc::gen::arbitrary<double>()); });
+}
+
 TEST_CASE("a truncated message is rejected") {
     caraway::tests::check_property("truncation", [] {
         auto const bytes = encode(any_message());
