node: Leave out the accounting of cost and regions where neither is used

Change: requests are accounted for with admission by cost only; peers know the domains of other regions, none in most fleets; held times are in quarters of a millisecond.

--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -37,6 +37,8 @@
 /// the clocks on both sides change it by less than this.
 constexpr duration deadline_tolerance{25};
 constexpr std::size_t max_waiting_suspects = 64;
+/// Steps of a millisecond in which answers say how long a request was held; the codec writes these shorter.
+constexpr double held_time_steps = 4;
 /// Answers lost within this time after a suspect crashed the target are attributed to the same crash.
 constexpr duration same_crash_window{500};
 
@@ -264,7 +266,9 @@
     auto const weight = this->weight_of(work.request.organisation);
     this->local_target.note_demand(now);
     this->controller.record_arrival(work.request.organisation, work.request.priority, weight);
-    this->load.record_arrival(work.request);
+    if (this->context.admits_by_cost()) {
+        this->load.record_arrival(work.request);
+    }
     for (auto const& waiter : work.waiters) {
         this->by_call[{waiter.host, waiter.call_id}] = id;
     }
@@ -322,7 +326,9 @@
     work.span_id = trace_context::new_span_id();
     this->load_estimate.record_sent(this->running, now);
     ++this->running;
-    this->load.record_start(work.id, work.request, now);
+    if (this->context.admits_by_cost()) {
+        this->load.record_start(work.id, work.request, now);
+    }
     this->local_target.record_sent(work.request.depth > 0 || work.request.is_nested_call, now);
     this->context.node_metrics.observe(latency_metric::queue, now - work.arrived);
     auto const left = work.deadline - now;
@@ -425,7 +431,7 @@
     bool const by_cost = this->context.admits_by_cost();
     auto const reports = by_cost ? std::vector<admission_report>{} : this->admission_reports(work);
     answer.report = this->context.make_own_report();
-    answer.held_ms = (now - work.arrived).milliseconds;
+    answer.held_ms = std::round((now - work.arrived).milliseconds * held_time_steps) / held_time_steps;
     for (auto const& waiter : work.waiters) {
         answer.call_id = waiter.call_id;
         answer.admissions = reports;
@@ -459,7 +465,9 @@
     }
     if (work.stage == execution::state::running) {
         --this->running;
-        this->load.record_end(work.id, work.request, now - work.started, now);
+        if (this->context.admits_by_cost()) {
+            this->load.record_end(work.id, work.request, now - work.started, now);
+        }
         this->running_suspect = this->running_suspect == work.id ? 0 : this->running_suspect;
         this->by_token.erase(work.context_token);
         if (this->context.options.exports_spans()) {
--- a/libraries/node/peer_table.cpp
+++ b/libraries/node/peer_table.cpp
@@ -381,26 +381,22 @@
         if (info.has_report && info.report.serving && this->best_connection(peer) != 0) {
             auto const& report = info.report;
             auto& group = is_silent(peer, now) ? silent : found;
-            group.push_back({.host = name,
-                             .same_domain = info.entry.failure_domain == this->domain,
-                             .reported_in_flight = report.in_flight,
-                             .limit = report.limit,
-                             .report_age = now - info.report_time,
-                             .same_region = this->is_in_own_region(info.entry.failure_domain),
-                             .reported_wait = {static_cast<double>(report.expected_wait_ms)},
-                             .request_time = {static_cast<double>(report.target_request_ms)},
-                             .work_time_percent = static_cast<double>(report.target_work_time_percent),
-                             .failure_fraction = report.target_failure_permille / permille});
+            group.push_back(
+                {.host = name,
+                 .same_domain = info.entry.failure_domain == this->domain,
+                 .reported_in_flight = report.in_flight,
+                 .limit = report.limit,
+                 .report_age = now - info.report_time,
+                 .same_region = !this->domains_of_other_regions.contains(info.entry.failure_domain),
+                 .reported_wait = {static_cast<double>(report.expected_wait_ms)},
+                 .request_time = {static_cast<double>(report.target_request_ms)},
+                 .work_time_percent = static_cast<double>(report.target_work_time_percent),
+                 .failure_fraction = report.target_failure_permille / permille});
         }
     }
     return found.empty() ? silent : found;
 }
 
-bool peer_table::is_in_own_region(std::string const& other_domain) const {
-    auto const found = this->domain_regions.find(other_domain);
-    return found == this->domain_regions.end() || found->second == this->region;
-}
-
 std::vector<std::string> peer_table::connected_hosts() const {
     std::vector<std::string> names;
     for (auto const& [name, peer] : this->peers) {
--- a/libraries/node/peer_table.hpp
+++ b/libraries/node/peer_table.hpp
@@ -35,9 +35,13 @@
     peer_table(std::string own_host, std::string own_domain, effects& output);
 
     /// Sets the own region and the regions of failure domains; a domain without one is in the own region.
-    void set_regions(std::string own_region, std::map<std::string, std::string> regions) {
-        this->region = std::move(own_region);
-        this->domain_regions = std::move(regions);
+    void set_regions(std::string const& own_region, std::map<std::string, std::string> const& regions) {
+        this->domains_of_other_regions.clear();
+        for (auto const& [name, region] : regions) {
+            if (region != own_region) {
+                this->domains_of_other_regions.insert(name);
+            }
+        }
     }
 
     /// Applies a new host list and closes the connections dialled to hosts that are no longer on it.
@@ -120,12 +124,10 @@
     connection_id best_connection(peer_state const& peer) const;
     /// Whether no link to the host answers pings in time.
     static bool is_silent(peer_state const& peer, time_point now);
-    bool is_in_own_region(std::string const& other_domain) const;
 
     std::string host;
     std::string domain;
-    std::string region;
-    std::map<std::string, std::string> domain_regions;
+    std::set<std::string> domains_of_other_regions; ///< Empty in a fleet of one region.
     effects& out;
     std::map<std::string, peer_state> peers;
     std::map<connection_id, std::string> hosts_by_connection;
--- a/libraries/node/request_router.cpp
+++ b/libraries/node/request_router.cpp
@@ -252,8 +252,10 @@
     call.request.depth = static_cast<std::uint8_t>(parent.request.depth + 1);
     call.request.trace_id = parent.request.trace_id;
     call.parent_span = parent.span_id;
-    load_accounting::charge(call.request, parent.request);
-    this->local_executor.accounting().record_call(call.request.route, parent.request.route, now);
+    if (this->context.admits_by_cost()) {
+        load_accounting::charge(call.request, parent.request);
+        this->local_executor.accounting().record_call(call.request.route, parent.request.route, now);
+    }
     this->local_executor.add_child_call(parent, call.id, now);
     this->by_listener_request[{call.side, call.listener_request_id}] = call.id;
     auto const id = call.id;
