--- a/libraries/config/configuration_review.cpp
+++ b/libraries/config/configuration_review.cpp
@@ -1,9 +1,11 @@
 #include "config/configuration_review.hpp"
 
+#include "base/digest.hpp"
 #include "config/bundle.hpp"
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <iomanip>
 #include <set>
 #include <sstream>
@@ -61,6 +63,34 @@
             .line = cause.line};
 }
 
+/// `field_name`: the field to name as the place; the item's first one when it has no such field.
+finding finding_at(finding_severity severity, item_set const& items, std::string const& section,
+                   std::string const& name, std::string const& field_name, std::string message) {
+    auto const& fields = section_of(items, section).at(name);
+    auto const* place = find_field(fields, field_name);
+    auto key = section + "." + name + (place == nullptr ? "" : "." + field_name);
+    if (place == nullptr && !fields.empty()) {
+        place = &fields.begin()->second;
+    }
+    return {.severity = severity,
+            .key = std::move(key),
+            .message = std::move(message),
+            .file = place == nullptr ? "" : place->file,
+            .line = place == nullptr ? 0 : place->line};
+}
+
+std::string text_field(field_map const& fields, std::string const& name) {
+    auto const* found = find_field(fields, name);
+    auto const* content = found == nullptr ? nullptr : std::get_if<std::string>(&found->value);
+    return content == nullptr ? std::string{} : *content;
+}
+
+bool leads_to(field_map const& route, std::string const& service) {
+    auto const split = text_field(route, "split");
+    return split.empty() ? text_field(route, "service") == service
+                         : ("," + split).find("," + service + "=") != std::string::npos;
+}
+
 /// Applies the rules to a configuration that the nodes accept.
 class reviewer {
 public:
@@ -75,20 +105,10 @@
     }
 
 private:
-    /// `field_name`: the field to name as the place; the item's first one when it has no such field.
     void report(finding_severity severity, std::string const& section, std::string const& name,
                 std::string const& field_name, std::string message) {
-        auto const& fields = section_of(this->items, section).at(name);
-        auto const* place = find_field(fields, field_name);
-        auto key = section + "." + name + (place == nullptr ? "" : "." + field_name);
-        if (place == nullptr && !fields.empty()) {
-            place = &fields.begin()->second;
-        }
-        this->findings.push_back({.severity = severity,
-                                  .key = std::move(key),
-                                  .message = std::move(message),
-                                  .file = place == nullptr ? "" : place->file,
-                                  .line = place == nullptr ? 0 : place->line});
+        this->findings.push_back(
+            finding_at(severity, this->items, section, name, field_name, std::move(message)));
     }
 
     void review_routes() {
@@ -193,12 +213,19 @@
                 this->report(finding_severity::warning, "services", name, "slots",
                              "More slots than connections: a target runs one request on each connection.");
             }
-            bool const has_cold_rate = find_field(fields, "cold_rate") != nullptr;
-            if (has_cold_rate != (find_field(fields, "cold_ms") != nullptr)) {
-                this->report(finding_severity::warning, "services", name,
-                             has_cold_rate ? "cold_rate" : "cold_ms",
-                             "A cold rate and a cold time have an effect only together.");
-            }
+            this->review_cold_pace(name, fields);
+        }
+    }
+
+    void review_cold_pace(std::string const& service, field_map const& fields) {
+        bool const has_rate = number_or(fields, "cold_rate", 0) > 0;
+        bool const has_time = number_or(fields, "cold_ms", 0) > 0;
+        if (has_rate != has_time) {
+            this->report(finding_severity::warning, "services", service, has_rate ? "cold_rate" : "cold_ms",
+                         "A cold rate and a cold time have an effect only together, and 0 counts as none.");
+        } else if (!has_rate && find_field(fields, "health_path") != nullptr) {
+            this->report(finding_severity::note, "services", service, "health_path",
+                         "The path is asked only where the service has a cold rate and a cold time.");
         }
     }
 
@@ -241,7 +268,10 @@
         bool const all_open = !this->compiled.routes().empty() &&
                               std::ranges::all_of(this->compiled.routes(), &route::allows_anonymous);
         for (auto const& [name, fields] : section_of(this->items, "keys")) {
-            if (this->compiled.routes().empty()) {
+            if (std::get<std::string>(fields.at("sha256").value) == sha256_hex("")) {
+                this->report(finding_severity::warning, "keys", name, "sha256",
+                             "The hash is that of an empty key, which no request can show.");
+            } else if (this->compiled.routes().empty()) {
                 this->report(finding_severity::warning, "keys", name, "",
                              "There is no route that the key could be used on.");
             } else if (all_open) {
@@ -264,7 +294,13 @@
     });
 }
 
-void review_valid_items(configuration_review& review) {
+void review_read_items(configuration_review& review) {
+    for (auto const& mistake : configuration::find_mistakes(review.items)) {
+        review.findings.push_back(error_of(mistake, review.items));
+    }
+    if (!review.findings.empty()) {
+        return;
+    }
     attempt_or(
         [&]() -> result<bool> {
             // The bundle is what nodes get, so that its limits of size are checked, too.
@@ -304,10 +340,8 @@
     }
 }
 
-std::string text_field(field_map const& fields, std::string const& name) {
-    auto const* found = find_field(fields, name);
-    auto const* content = found == nullptr ? nullptr : std::get_if<std::string>(&found->value);
-    return content == nullptr ? std::string{} : *content;
+std::string rate_text(double requests_per_second) {
+    return std::to_string(std::llround(requests_per_second)) + " requests/s";
 }
 
 std::string count_text(std::size_t count, std::string const& what) {
@@ -325,10 +359,7 @@
 std::string routes_to_service(item_set const& items, std::string const& service) {
     std::size_t count = 0;
     for (auto const& [name, fields] : section_of(items, "routes")) {
-        bool const leads_there =
-            text_field(fields, "service") == service ||
-            ("," + text_field(fields, "split")).find("," + service + "=") != std::string::npos;
-        count += leads_there ? 1 : 0;
+        count += leads_to(fields, service) ? 1 : 0;
     }
     return count_text(count, "route") + " to this service";
 }
@@ -387,21 +418,24 @@
 
 configuration_review review_files(std::vector<std::filesystem::path> const& files) {
     configuration_review review;
-    auto const read = [&review](std::filesystem::path const& file) {
-        auto before = review.items;
+    auto const add_error = [&review](problem const& cause, std::filesystem::path const& file) {
+        auto entry = error_of(cause, {});
+        entry.file = entry.file.empty() ? file.string() : entry.file;
+        review.findings.push_back(std::move(entry));
+        return false;
+    };
+    auto const read = [&](std::filesystem::path const& file) {
+        std::vector<problem> mistakes;
         attempt_or(
             [&]() -> result<bool> {
-                BOOST_LEAF_CHECK(
-                    read_toml_file(file, file_layout::named_items, configuration_schema(), review.items));
+                BOOST_LEAF_CHECK(read_toml_file(file, file_layout::named_items, configuration_schema(),
+                                                review.items, &mistakes));
                 return true;
             },
-            [&](problem const& cause) {
-                auto entry = error_of(cause, {});
-                entry.file = entry.file.empty() ? file.string() : entry.file;
-                review.findings.push_back(std::move(entry));
-                review.items = std::move(before);
-                return false;
-            });
+            [&](problem const& cause) { return add_error(cause, file); });
+        for (auto const& mistake : mistakes) {
+            add_error(mistake, file);
+        }
     };
     for (auto const& file : files) {
         std::error_code ignored;
@@ -415,13 +449,10 @@
                 std::ranges::for_each(members, read);
                 return true;
             },
-            [&](problem const& cause) {
-                review.findings.push_back(error_of(cause, {}));
-                return false;
-            });
+            [&](problem const& cause) { return add_error(cause, file); });
     }
     if (review.findings.empty()) {
-        review_valid_items(review);
+        review_read_items(review);
     }
     sort_findings(review.findings);
     return review;
@@ -429,11 +460,47 @@
 
 configuration_review review_items(item_set items) {
     configuration_review review{.items = std::move(items)};
-    review_valid_items(review);
+    review_read_items(review);
     sort_findings(review.findings);
     return review;
 }
 
+std::vector<finding> review_capacities(item_set const& items,
+                                       std::map<std::string, service_capacity> const& capacities) {
+    std::vector<finding> findings;
+    double carried = 0;
+    bool all_known = true;
+    for (auto const& [service, fields] : section_of(items, "services")) {
+        auto const known = capacities.find(service);
+        bool const is_entered =
+            std::ranges::any_of(section_of(items, "routes"), [&service = service](auto const& route) {
+                return leads_to(route.second, service);
+            });
+        if (known == capacities.end()) {
+            all_known = all_known && !is_entered;
+            continue;
+        }
+        carried += is_entered ? known->second.requests_per_second : 0;
+        auto const cold_rate = number_or(fields, "cold_rate", 0);
+        if (cold_rate > known->second.requests_per_second_and_target) {
+            findings.push_back(finding_at(finding_severity::warning, items, "services", service, "cold_rate",
+                                          "The cold rate is above what a target carries now, " +
+                                              rate_text(known->second.requests_per_second_and_target) +
+                                              ", so that it holds nothing."));
+        }
+    }
+    for (auto const& [name, fields] : section_of(items, "organisations")) {
+        if (all_known && number_or(fields, "rate", 0) > carried) {
+            findings.push_back(finding_at(finding_severity::warning, items, "organisations", name, "rate",
+                                          "The rate is above what all services that routes lead to carry "
+                                          "now together, " +
+                                              rate_text(carried) + "."));
+        }
+    }
+    sort_findings(findings);
+    return findings;
+}
+
 std::vector<configuration_difference> compare_items(item_set const& current, item_set const& wanted) {
     std::vector<configuration_difference> differences;
     for (auto const& [section, wanted_items] : wanted) {
--- a/libraries/config/configuration_review.hpp
+++ b/libraries/config/configuration_review.hpp
@@ -8,7 +8,7 @@
 #include "config/item_set.hpp"
 
 #include <filesystem>
-#include <optional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -34,13 +34,24 @@
     bool is_valid{false};          ///< Whether a node would accept the configuration.
 };
 
-/// Reads the files, merged in this order, of which each may be a folder. A file that can't be read or is
-/// wrong is reported and left out; the others are read all the same.
+/// Reads the files, merged in this order, of which each may be a folder. Every mistake is reported and what
+/// is wrong left out; the items are compared with each other only when there is none.
 configuration_review review_files(std::vector<std::filesystem::path> const& files);
 
 /// Reviews items that have been read without a mistake.
 configuration_review review_items(item_set items);
 
+/// What the targets of a service can do now, as the nodes measure it.
+struct service_capacity {
+    double requests_per_second{0};            ///< Of all targets together.
+    double requests_per_second_and_target{0}; ///< Of the fastest one.
+};
+
+/// Finds limits of valid items that contradict what the services carry, by service. Services that are not
+/// named are not known, and nothing is compared with them.
+std::vector<finding> review_capacities(item_set const& items,
+                                       std::map<std::string, service_capacity> const& capacities);
+
 /// What an operator changes by publishing `wanted` in place of `current`.
 struct configuration_difference {
     enum class kind : std::uint8_t { added, removed, changed };
