tests: Set the bounds of admission by cost to the stated target

A leaf that lost a third of its targets has to carry 0.9 of its room after the trigger, and costs have to be right within a fifth. The first is not met: 199 and 198.5 of 250 roots a second at loads 1.0 and 3.0.

--- a/tests/policy/cost_admission_test.cpp
+++ b/tests/policy/cost_admission_test.cpp
@@ -66,7 +66,7 @@
     std::mt19937_64 random(1);
     double now = 1000;
     play(estimator, {{"wide", 100, 8}, {"narrow", 100, 2}}, now, 6000, random);
-    CHECK(estimator.calls_per_run("wide", "leaf") == doctest::Approx(8).epsilon(0.3));
+    CHECK(estimator.calls_per_run("wide", "leaf") == doctest::Approx(8).epsilon(0.2));
     CHECK(estimator.slot_time("wide").milliseconds == doctest::Approx(run_ms));
 }
 
--- a/tests/policy/narrow_leaf_test.cpp
+++ b/tests/policy/narrow_leaf_test.cpp
@@ -137,7 +137,7 @@
         model.set_slots(slots); // Two of three targets are left.
         model.play(load * room_per_second * 2, 2000);
         model.play(load * room_per_second, 3000);
-        CHECK(model.play(load * room_per_second, 6000) >= 0.75 * room_per_second);
+        CHECK(model.play(load * room_per_second, 6000) >= 0.9 * room_per_second);
     }
 }
 
