policy, node: Share a class's room among organisations by cost

Cause: all organisations of a class were let in with one fraction, so that a hot one took the room of the others.

--- a/libraries/link/message.hpp
+++ b/libraries/link/message.hpp
@@ -152,16 +152,31 @@
     }
 };
 
-/// Fraction of the offered requests that one service admits for one organisation, by priority class.
+/// Fraction of the offered requests of one organisation that a service admits, by priority class.
+struct organisation_report {
+    std::string organisation;
+    std::array<double, 3> admission_fractions{1, 1, 1};
+
+    template <typename Visitor>
+    void visit(Visitor&& visitor) {
+        visitor(this->organisation, this->admission_fractions);
+    }
+    bool operator==(organisation_report const&) const = default;
+};
+
+/// Fraction of the offered requests that one service admits, by priority class: for the organisation of the
+/// request, or by cost for those that are not named.
 struct admission_report {
     std::string service;
     std::array<double, 3> admission_fractions{1, 1, 1};
     double age_ms{0};            ///< Time since a host of the service computed them.
     double answered_fraction{1}; ///< Of the requests sent to its target, those that the target accepted.
+    std::vector<organisation_report> organisations; ///< By cost only.
 
     template <typename Visitor>
     void visit(Visitor&& visitor) {
-        visitor(this->service, this->admission_fractions, this->age_ms, this->answered_fraction);
+        visitor(this->service, this->admission_fractions, this->age_ms, this->answered_fraction,
+                this->organisations);
     }
     bool operator==(admission_report const&) const = default;
 };
--- a/libraries/node/entry_admission.cpp
+++ b/libraries/node/entry_admission.cpp
@@ -24,7 +24,8 @@
     }
     auto const priority = std::min<std::size_t>(request.priority, admission_class_count - 1);
     if (this->context.admits_by_cost()) {
-        made.limited = this->context.rooms.bottleneck_of(request.route, service, priority, now);
+        made.limited =
+            this->context.rooms.bottleneck_of(request.route, service, request.organisation, priority, now);
         made.fraction = made.limited.fraction;
     } else {
         made.fraction =
@@ -55,9 +56,11 @@
 void entry_admission::record_room(std::string const& from, std::string const& route,
                                   answer_message const& answer, time_point now) {
     for (auto const& report : answer.admissions) {
-        this->context.rooms.update_room(report.service, from,
-                                        {report.admission_fractions, report.answered_fraction},
-                                        {report.age_ms}, now);
+        service_room_view::statement stated{report.admission_fractions, report.answered_fraction, {}};
+        for (auto const& entry : report.organisations) {
+            stated.organisations[entry.organisation] = entry.admission_fractions;
+        }
+        this->context.rooms.update_room(report.service, from, stated, {report.age_ms}, now);
     }
     if (answer.costs.empty()) {
         return;
--- a/libraries/node/load_accounting.cpp
+++ b/libraries/node/load_accounting.cpp
@@ -18,11 +18,24 @@
 constexpr double min_reported_cost = 0.5;
 constexpr double max_offered_weight = 1000;
 
+std::vector<organisation_report>
+describe_organisations(std::map<std::string, admission_fractions> const& fractions) {
+    std::vector<organisation_report> reports;
+    for (auto const& [organisation, values] : fractions) {
+        reports.push_back({organisation, values});
+    }
+    return reports;
+}
+
 } // namespace
 
 void load_accounting::record_arrival(forward_message const& request) {
-    this->room.record_arrival(request.charged_priority, this->estimator.slot_time(request.route),
-                              std::clamp(request.offered_weight, 0.0, max_offered_weight));
+    auto const* charged = this->context.configuration->find_organisation(request.charged_organisation);
+    this->room.record_arrival({.priority = request.charged_priority,
+                               .slot_time = this->estimator.slot_time(request.route),
+                               .offered_weight = std::clamp(request.offered_weight, 0.0, max_offered_weight),
+                               .organisation = request.charged_organisation,
+                               .share = charged == nullptr ? 1 : charged->weight});
 }
 
 void load_accounting::record_start(std::uint64_t id, forward_message const& request, time_point now) {
@@ -88,7 +101,8 @@
     bool const is_news = now - this->last_limiting < news_span;
     if (is_news) {
         this->context.rooms.update_room(this->context.options.service, this->context.options.host,
-                                        {this->room.fractions(), accepted}, {0}, now);
+                                        {this->room.fractions(), accepted, this->room.named_fractions()}, {0},
+                                        now);
     }
 }
 
@@ -97,14 +111,16 @@
     std::vector<admission_report> reports;
     auto const& own = this->context.options.service;
     if (now - this->last_limiting < news_span) {
-        reports.push_back({own, this->room.fractions(), 0, this->answered.value(now)});
+        reports.push_back({own, this->room.fractions(), 0, this->answered.value(now),
+                           describe_organisations(this->room.named_fractions())});
     }
     for (auto const& [service, cost] : costs) {
         if (service == own || cost < min_reported_cost || !this->context.rooms.is_newsworthy(service, now)) {
             continue;
         }
         auto const known = this->context.rooms.room_of(service, now);
-        reports.push_back({service, known.fractions, known.age.milliseconds, known.answered});
+        reports.push_back({service, known.fractions, known.age.milliseconds, known.answered,
+                           describe_organisations(known.organisations)});
     }
     for (auto const& service : this->context.rooms.refusing_services(now)) {
         if (service == own ||
@@ -113,22 +129,24 @@
         }
         // Routes that don't use it pass this on as well: few requests of those that do are let in.
         auto const known = this->context.rooms.room_of(service, now);
-        reports.push_back({service, known.fractions, known.age.milliseconds, known.answered});
+        reports.push_back({service, known.fractions, known.age.milliseconds, known.answered,
+                           describe_organisations(known.organisations)});
     }
     return reports;
 }
 
 void load_accounting::describe(answer_message& answer, std::string const& route, std::string const& receiver,
                                time_point now) {
+    auto const known = this->told.find({route, receiver});
+    if (known != this->told.end() && now - known->second.room < room_interval) {
+        return;
+    }
     auto const costs = this->costs_of(route);
     auto reports = this->room_reports(costs, now);
     if (reports.empty()) {
         return;
     }
     auto const [entry, inserted] = this->told.try_emplace({route, receiver});
-    if (!inserted && now - entry->second.room < room_interval) {
-        return;
-    }
     entry->second.room = now;
     answer.admissions = std::move(reports);
     if (!inserted && now - entry->second.costs < cost_interval) {
--- a/libraries/policy/service_room.cpp
+++ b/libraries/policy/service_room.cpp
@@ -28,11 +28,15 @@
 
 } // namespace
 
-void service_room::record_arrival(std::size_t priority, duration slot_time, double offered_weight) {
+void service_room::record_arrival(arrival const& request) {
+    double const slot_time = request.slot_time.milliseconds * request.offered_weight;
+    auto& entry = this->classes.at(std::min(request.priority, admission_class_count - 1));
     ++this->arrivals;
-    this->roots += offered_weight > 0 ? 1 : 0;
-    this->classes.at(std::min(priority, admission_class_count - 1)).arrived +=
-        slot_time.milliseconds * offered_weight;
+    entry.arrived += slot_time;
+    if (slot_time > 0) {
+        ++this->roots;
+        entry.shares.record(request.organisation, request.share, slot_time);
+    }
 }
 
 void service_room::record_queue(std::size_t waiting_requests) {
@@ -61,6 +65,7 @@
     this->limiting = total > slots * this->usable && (this->limiting || this->smoothed_wait > begin_wait);
     if (!this->limiting) {
         this->class_fractions = {1, 1, 1};
+        this->named.clear();
         return;
     }
     this->distribute(slots * this->usable);
@@ -71,6 +76,7 @@
         entry.slots +=
             smoothing_of(span, demand_time_constant) * (entry.arrived / span.milliseconds - entry.slots);
         entry.arrived = 0;
+        entry.shares.update(span);
     }
 }
 
@@ -97,13 +103,22 @@
 }
 
 void service_room::distribute(double room) {
+    std::array<organisation_fractions, admission_class_count> divided;
     for (std::size_t priority = 0; priority < admission_class_count; ++priority) {
-        double const wanted = this->classes.at(priority).slots;
-        double const granted = std::min(wanted, room);
-        this->class_fractions.at(priority) =
-            wanted > 0 ? std::clamp(granted / wanted, min_fraction, 1.0) : (room > 0 ? 1.0 : min_fraction);
+        auto const& entry = this->classes.at(priority);
+        double const granted = std::min(entry.slots, room);
+        double const fraction = entry.slots > 0 ? granted / entry.slots : (room > 0 ? 1.0 : 0.0);
+        divided.at(priority) = entry.shares.divide(std::clamp(fraction, min_fraction, 1.0));
+        this->class_fractions.at(priority) = divided.at(priority).others;
         room -= granted;
     }
+    this->named.clear();
+    for (std::size_t priority = 0; priority < admission_class_count; ++priority) {
+        for (auto const& [organisation, fraction] : divided.at(priority).named) {
+            this->named.try_emplace(organisation, this->class_fractions).first->second.at(priority) =
+                fraction;
+        }
+    }
 }
 
 } // namespace caraway
--- a/libraries/policy/service_room.hpp
+++ b/libraries/policy/service_room.hpp
@@ -8,16 +8,25 @@
 
 #include "base/clock.hpp"
 #include "policy/admission_controller.hpp"
+#include "policy/organisation_shares.hpp"
 
 #include <array>
+#include <map>
+#include <string>
 
 namespace caraway {
 
 class service_room {
 public:
-    /// `slot_time`: how long the request will hold a slot. `offered_weight`: requests that it stands for; 0
-    /// for a further call of a root that has been recorded.
-    void record_arrival(std::size_t priority, duration slot_time, double offered_weight);
+    struct arrival {
+        std::size_t priority{0};
+        duration slot_time;         ///< How long the request will hold a slot.
+        double offered_weight{1};   ///< Requests that it stands for; 0 if others have told of it.
+        std::string organisation{}; ///< That the offered requests are charged to.
+        double share{1};            ///< Weight of the organisation.
+    };
+
+    void record_arrival(arrival const& request);
     /// Records one observation of how many requests wait for a slot.
     void record_queue(std::size_t waiting);
 
@@ -25,7 +34,10 @@
     /// once, as far as it may be sent as many. `mean_slot_time`: of one request that waits.
     void update_if_due(double slots, duration mean_slot_time, time_point now);
 
+    /// For the organisations that are not named.
     admission_fractions const& fractions() const { return this->class_fractions; }
+    /// Organisations that are let in with less than others of a class.
+    std::map<std::string, admission_fractions> const& named_fractions() const { return this->named; }
     bool is_limiting() const { return this->limiting; }
     /// Slots that all offered work would occupy.
     double demand() const;
@@ -38,6 +50,7 @@
     struct class_demand {
         double arrived{0}; ///< Slot time of the window, in milliseconds.
         double slots{0};
+        organisation_shares shares;
     };
 
     void update_demand(duration span);
@@ -47,6 +60,7 @@
 
     std::array<class_demand, admission_class_count> classes;
     admission_fractions class_fractions{1, 1, 1};
+    std::map<std::string, admission_fractions> named;
     double arrivals{0};       ///< Of the window.
     double roots{0};          ///< The same, without further calls.
     double calls_per_root{1}; ///< Smoothed.
--- a/libraries/policy/service_room_view.cpp
+++ b/libraries/policy/service_room_view.cpp
@@ -44,18 +44,24 @@
     }
 }
 
-service_room_view::room service_room_view::room_of(std::string const& service, time_point now) const {
-    auto const found = this->services.find(service);
-    if (found == this->services.end() || !found->second.was_short) {
+admission_fractions const& service_room_view::statement::fractions_of(std::string const& organisation) const {
+    auto const found = this->organisations.find(organisation);
+    return found == this->organisations.end() ? this->fractions : found->second;
+}
+
+service_room_view::room service_room_view::mean_of(service_reports const& reports,
+                                                   std::string const& organisation, time_point now) {
+    if (!reports.was_short) {
         return {};
     }
-    room result{{0, 0, 0}, 0, expiry_span};
+    room result{.fractions = {0, 0, 0}, .answered = 0, .age = expiry_span, .organisations = {}};
     double weights = 0;
-    for (auto const& [reporter, row] : found->second.by_reporter) {
+    for (auto const& [reporter, row] : reports.by_reporter) {
         auto const age = now - row.computed;
         double const weight = std::exp(-(age / report_time_constant));
+        auto const& fractions = row.stated.fractions_of(organisation);
         for (std::size_t index = 0; index < result.fractions.size(); ++index) {
-            result.fractions.at(index) += weight * row.stated.fractions.at(index);
+            result.fractions.at(index) += weight * fractions.at(index);
         }
         result.answered += weight * row.stated.answered;
         weights += weight;
@@ -72,6 +78,22 @@
     return result;
 }
 
+service_room_view::room service_room_view::room_of(std::string const& service, time_point now) const {
+    auto const found = this->services.find(service);
+    if (found == this->services.end()) {
+        return {};
+    }
+    auto result = mean_of(found->second, {}, now);
+    for (auto const& [reporter, row] : found->second.by_reporter) {
+        for (auto const& [organisation, fractions] : row.stated.organisations) {
+            if (now - row.computed < quiet_span && !result.organisations.contains(organisation)) {
+                result.organisations[organisation] = mean_of(found->second, organisation, now).fractions;
+            }
+        }
+    }
+    return result;
+}
+
 bool service_room_view::is_refusing(double answered) {
     return answered < refusing_below;
 }
@@ -79,7 +101,7 @@
 std::vector<std::string> service_room_view::refusing_services(time_point now) const {
     std::vector<std::string> result;
     for (auto const& [service, entry] : this->services) {
-        if (entry.was_short && is_refusing(this->room_of(service, now).answered)) {
+        if (is_refusing(mean_of(entry, {}, now).answered)) {
             result.push_back(service);
         }
     }
@@ -126,10 +148,15 @@
 
 service_room_view::bottleneck service_room_view::bottleneck_of(std::string const& route,
                                                                std::string const& direct_service,
+                                                               std::string const& organisation,
                                                                std::size_t priority, time_point now) const {
     bottleneck least;
     auto const consider = [&](std::string const& service, double cost) {
-        auto const known = this->room_of(service, now);
+        auto const reports = this->services.find(service);
+        if (reports == this->services.end()) {
+            return;
+        }
+        auto const known = mean_of(reports->second, organisation, now);
         if (known.fractions.at(priority) < least.fraction) {
             least = {service, known.fractions.at(priority), cost, known.age};
         }
--- a/libraries/policy/service_room_view.hpp
+++ b/libraries/policy/service_room_view.hpp
@@ -18,6 +18,8 @@
         admission_fractions fractions{1, 1, 1};
         double answered{1}; ///< Of the requests sent to its targets, those that the targets accept.
         duration age;       ///< Since a host of the service computed the newest of them.
+        /// Organisations that are let in with other fractions.
+        std::map<std::string, admission_fractions> organisations;
     };
     /// The service that admits the least of a route, and what is known of it.
     struct bottleneck {
@@ -31,6 +33,9 @@
     struct statement {
         admission_fractions fractions{1, 1, 1};
         double answered{1};
+        std::map<std::string, admission_fractions> organisations{}; ///< With other fractions.
+
+        admission_fractions const& fractions_of(std::string const& organisation) const;
     };
 
     /// Records what `reporter` said of the service `age` ago.
@@ -54,11 +59,16 @@
 
     /// `direct_service` runs the route itself.
     bottleneck bottleneck_of(std::string const& route, std::string const& direct_service,
-                             std::size_t priority, time_point now) const;
+                             std::string const& organisation, std::size_t priority, time_point now) const;
 
     void remove_expired(time_point now);
 
 private:
+    struct service_reports;
+
+    /// The mean of what was reported of the service for the organisation.
+    static room mean_of(service_reports const& reports, std::string const& organisation, time_point now);
+
     struct report {
         statement stated;
         time_point computed;
--- a/tests/policy/cost_admission_test.cpp
+++ b/tests/policy/cost_admission_test.cpp
@@ -118,9 +118,9 @@
     service_room room;
     for (int window = 0; window < 50; ++window) {
         // Offered: 10 slots of critical work and 190 of the next class, of 100.
-        room.record_arrival(0, {1000}, 1);
+        room.record_arrival({0, {1000}, 1});
         double const admitted = room.fractions()[1];
-        room.record_arrival(1, {19'000 * admitted}, 1 / admitted);
+        room.record_arrival({1, {19'000 * admitted}, 1 / admitted});
         room.record_queue(admitted > 0.5 ? 20 : 0);
         room.update_if_due(100, {100}, {100.0 * window});
     }
@@ -129,13 +129,41 @@
     CHECK(room.fractions()[1] == doctest::Approx((95.0 - 10) / 190).epsilon(0.15));
 }
 
+TEST_CASE("three hot organisations and a burst of one kind at a leaf leave the others their share") {
+    auto const others_share = [](double hot, double burst) {
+        service_room room;
+        service_room_view view;
+        for (int window = 0; window < 100; ++window) {
+            double const now = 50.0 * window;
+            for (int index = 0; index < 20; ++index) {
+                auto const organisation = "o" + std::to_string(index);
+                // Dear requests, and cheap ones of which the burst consists.
+                double const dear = index < 3 ? 600 * hot : 600;
+                double const cheap = index == 3 ? 40 * burst : 40;
+                auto const told = view.bottleneck_of("wide", "leaf", organisation, 1, {now}).fraction;
+                room.record_arrival({1, {dear * told}, 1 / told, organisation});
+                room.record_arrival({1, {cheap * told}, 1 / told, organisation});
+            }
+            room.record_queue(30);
+            room.update_if_due(100, {50}, {now});
+            view.update_room("leaf", "a", {room.fractions(), 1, room.named_fractions()}, {0}, {now});
+        }
+        return view.bottleneck_of("wide", "leaf", "o10", 1, {5000}).fraction;
+    };
+    double const before = others_share(1, 1);
+    CHECK(before < 0.6);
+    CHECK(others_share(6, 1) == doctest::Approx(before).epsilon(0.02));
+    CHECK(others_share(1, 50) == doctest::Approx(before).epsilon(0.02));
+    CHECK(others_share(6, 50) == doctest::Approx(before).epsilon(0.02));
+}
+
 TEST_CASE("a leaf that loses half of its targets limits the offered work, and recovers with them") {
     service_room room;
     double now = 0;
     auto const offer = [&](double slots, int windows) {
         for (int window = 0; window < windows; ++window, now += 100) {
             double const admitted = room.fractions()[1];
-            room.record_arrival(1, {8000 * admitted}, 1 / admitted);
+            room.record_arrival({1, {8000 * admitted}, 1 / admitted});
             // Requests of 100 ms; what is beyond the slots waits for a short time.
             room.record_queue(80 * admitted > slots ? 20 : 0);
             room.update_if_due(slots, {100}, {now});
@@ -152,7 +180,7 @@
 TEST_CASE("work that is waiting without more demand than room does not limit admission") {
     service_room room;
     for (int window = 0; window < 20; ++window) {
-        room.record_arrival(1, {4000}, 1);
+        room.record_arrival({1, {4000}, 1});
         room.record_queue(10);
         room.update_if_due(100, {100}, {100.0 * window});
     }
@@ -164,12 +192,12 @@
     view.update_costs("wide", {{"front", 200}, {"leaf", 360}, {"side", 1}}, {0});
     view.update_room("leaf", "a", {{1, 0.4, 0}}, {0}, {0});
     view.update_room("side", "b", {{1, 0.1, 0}}, {0}, {0});
-    auto const least = view.bottleneck_of("wide", "front", 1, {100});
+    auto const least = view.bottleneck_of("wide", "front", "", 1, {100});
     CHECK(least.service == "leaf");
     CHECK(least.fraction == doctest::Approx(0.4));
     CHECK(least.cost == doctest::Approx(360));
-    CHECK(view.bottleneck_of("unknown", "front", 1, {100}).fraction == 1);
-    CHECK(view.bottleneck_of("unknown", "leaf", 1, {100}).fraction == doctest::Approx(0.4));
+    CHECK(view.bottleneck_of("unknown", "front", "", 1, {100}).fraction == 1);
+    CHECK(view.bottleneck_of("unknown", "leaf", "", 1, {100}).fraction == doctest::Approx(0.4));
 }
 
 TEST_CASE("reports that have become stale let in more and more, then all") {
--- a/tests/policy/narrow_leaf_test.cpp
+++ b/tests/policy/narrow_leaf_test.cpp
@@ -61,7 +61,7 @@
     void offer_root() {
         double fraction = 1;
         if (this->kind == basis::cost) {
-            fraction = this->view.bottleneck_of("wide", "front", 1, {this->now}).fraction;
+            fraction = this->view.bottleneck_of("wide", "front", "", 1, {this->now}).fraction;
         }
         // By count, what the leaf admits is known for its own route only.
         if (this->unit(this->random) < fraction) {
@@ -70,7 +70,7 @@
     }
 
     void enqueue(root owner) {
-        this->room.record_arrival(1, {call_ms}, owner.owed);
+        this->room.record_arrival({1, {call_ms}, owner.owed});
         owner.owed = 0;
         bool const has_free_slot =
             this->waiting.empty() && static_cast<double>(this->running.size()) < this->slots;
@@ -107,7 +107,8 @@
         this->room.update_if_due(this->slots, {call_ms}, {this->now});
         this->reports.emplace_back(this->now, this->room.fractions());
         while (this->now - this->reports.front().first >= report_delay_ms) {
-            this->view.update_room("leaf", "a", {this->reports.front().second}, {report_delay_ms}, {this->now});
+            this->view.update_room("leaf", "a", {this->reports.front().second}, {report_delay_ms},
+                                   {this->now});
             this->reports.pop_front();
         }
         return useful;
