node: Say whether a service's room is short or its targets refuse

The log line of a refused request, which explain-request prints, names the service, the share and the cost; now also which of the two held it back.

--- a/libraries/node/entry_admission.cpp
+++ b/libraries/node/entry_admission.cpp
@@ -34,10 +34,14 @@
     // Critical requests are exempt from the goodput limit: shedding the others relieves them as well.
     double useful = 1;
     if (request.priority != static_cast<std::uint8_t>(priority_class::critical)) {
-        bool const is_cause_known = this->context.admits_by_cost() &&
-                                    this->context.rooms.uses_refusing_service(request.route, service, now);
-        useful = is_cause_known ? this->goodput.probing_fraction(request.route)
-                                : this->goodput.admission_fraction(request.route, now);
+        auto const refusing = this->context.admits_by_cost()
+                                  ? this->context.rooms.refusing_service_of(request.route, service, now)
+                                  : std::string{};
+        useful = refusing.empty() ? this->goodput.admission_fraction(request.route, now)
+                                  : this->goodput.probing_fraction(request.route);
+        if (!refusing.empty() && useful < made.fraction) {
+            made.limited = {.service = refusing, .fraction = useful, .is_refusing = true, .age = {}};
+        }
     }
     made.fraction = std::min(made.fraction, useful);
     // What is held back because it would fail asks for no room.
--- a/libraries/node/request_router.cpp
+++ b/libraries/node/request_router.cpp
@@ -778,6 +778,9 @@
          {"room_service", call.limited.service},
          {"room_fraction", call.limited.service.empty() ? "" : std::to_string(call.limited.fraction)},
          {"cost_ms", call.limited.service.empty() ? "" : rounded(call.limited.cost)},
+         {"room_reason", call.limited.service.empty() ? ""
+                         : call.limited.is_refusing   ? "service_refuses"
+                                                      : "room_short"},
          {"class", std::to_string(call.request.priority)},
          {"room_age_ms", call.limited.service.empty() ? "" : rounded(call.limited.age.milliseconds)},
          {"attempts_left", std::to_string(call.allowance.remaining())},
--- a/libraries/policy/service_room_view.cpp
+++ b/libraries/policy/service_room_view.cpp
@@ -108,12 +108,14 @@
     return result;
 }
 
-bool service_room_view::uses_refusing_service(std::string const& route, std::string const& direct_service,
-                                              time_point now) const {
+std::string service_room_view::refusing_service_of(std::string const& route,
+                                                   std::string const& direct_service, time_point now) const {
     auto const& costs = this->costs_of(route);
-    return std::ranges::any_of(this->refusing_services(now), [&](std::string const& service) {
+    auto const refusing = this->refusing_services(now);
+    auto const found = std::ranges::find_if(refusing, [&](std::string const& service) {
         return costs.empty() || service == direct_service || costs.contains(service);
     });
+    return found == refusing.end() ? std::string{} : *found;
 }
 
 bool service_room_view::is_newsworthy(std::string const& service, time_point now) const {
@@ -158,7 +160,7 @@
         }
         auto const known = mean_of(reports->second, organisation, now);
         if (known.fractions.at(priority) < least.fraction) {
-            least = {service, known.fractions.at(priority), cost, known.age};
+            least = {service, known.fractions.at(priority), cost, false, known.age};
         }
     };
     auto const& costs = this->costs_of(route);
--- a/libraries/policy/service_room_view.hpp
+++ b/libraries/policy/service_room_view.hpp
@@ -25,7 +25,8 @@
     struct bottleneck {
         std::string service; ///< Empty when every service has room for all.
         double fraction{1};
-        double cost{0}; ///< Slot time of one request there, in milliseconds; 0 when it is not known.
+        double cost{0};          ///< Slot time of one request there, in milliseconds; 0 when it is not known.
+        bool is_refusing{false}; ///< Its targets refuse, rather than that its room is short.
         duration age;
     };
 
@@ -51,7 +52,12 @@
     std::vector<std::string> refusing_services(time_point now) const;
     /// Whether the route takes time of a service whose targets refuse; also where its costs are unknown.
     bool uses_refusing_service(std::string const& route, std::string const& direct_service,
-                               time_point now) const;
+                               time_point now) const {
+        return !this->refusing_service_of(route, direct_service, now).empty();
+    }
+    /// The first such service; empty for none.
+    std::string refusing_service_of(std::string const& route, std::string const& direct_service,
+                                    time_point now) const;
     /// Whether other nodes have to hear of the service: its room is or was short lately.
     bool is_newsworthy(std::string const& service, time_point now) const;
     /// Empty while unknown.
