--- a/libraries/link/message.hpp
+++ b/libraries/link/message.hpp
@@ -130,12 +130,12 @@
     std::string calling_service; ///< Service of the host at which the request originated.
     bool idempotent{true};
     bool is_nested_call{false}; ///< Made by a target while it serves another request.
-    /// The organisation and priority class of the root request that the load is charged to. For a call whose
-    /// parent is unknown they are drawn from the requests that may have made it; they decide nothing about
-    /// the call itself.
+    /// The organisation and priority class of the root requests that `offered_weight` is charged to. For a
+    /// call of a target these may be others than the one that made it; they decide nothing about the call.
     std::string charged_organisation;
     std::uint8_t charged_priority{0};
-    /// Offered requests that this one stands for: the reciprocal of the fraction admitted at its entry node.
+    /// Offered requests that this one tells of: for one of a caller, the reciprocal of the fraction admitted;
+    /// for a call of a target, all calls of runs that began, and 0 when others have told of them.
     double offered_weight{1};
     /// The host may refuse the request as `passed_on`, before it runs, when the request would wait longer
     /// than this: the sender then knows a better host. In milliseconds; 0 if it must not be passed on.
@@ -152,15 +152,31 @@
     }
 };
 
-/// Fraction of the offered requests that one service admits for one organisation, by priority class.
+/// Fraction of the offered requests of one organisation that a service admits, by priority class.
+struct organisation_report {
+    std::string organisation;
+    std::array<double, 3> admission_fractions{1, 1, 1};
+
+    template <typename Visitor>
+    void visit(Visitor&& visitor) {
+        visitor(this->organisation, this->admission_fractions);
+    }
+    bool operator==(organisation_report const&) const = default;
+};
+
+/// Fraction of the offered requests that one service admits, by priority class: for the organisation of the
+/// request, or by cost for those that are not named.
 struct admission_report {
     std::string service;
     std::array<double, 3> admission_fractions{1, 1, 1};
-    double age_ms{0}; ///< Time since a host of the service computed them.
+    double age_ms{0};            ///< Time since a host of the service computed them.
+    double answered_fraction{1}; ///< Of the requests sent to its target, those that the target accepted.
+    std::vector<organisation_report> organisations; ///< By cost only.
 
     template <typename Visitor>
     void visit(Visitor&& visitor) {
-        visitor(this->service, this->admission_fractions, this->age_ms);
+        visitor(this->service, this->admission_fractions, this->age_ms, this->answered_fraction,
+                this->organisations);
     }
     bool operator==(admission_report const&) const = default;
 };
--- a/libraries/node/entry_admission.cpp
+++ b/libraries/node/entry_admission.cpp
@@ -24,16 +24,28 @@
     }
     auto const priority = std::min<std::size_t>(request.priority, admission_class_count - 1);
     if (this->context.admits_by_cost()) {
-        made.limited = this->context.rooms.bottleneck_of(request.route, service, priority, now);
+        made.limited =
+            this->context.rooms.bottleneck_of(request.route, service, request.organisation, priority, now);
         made.fraction = made.limited.fraction;
     } else {
         made.fraction =
             this->context.admissions.min_fraction(request.route, request.organisation, request.priority, now);
     }
     // Critical requests are exempt from the goodput limit: shedding the others relieves them as well.
+    double useful = 1;
     if (request.priority != static_cast<std::uint8_t>(priority_class::critical)) {
-        made.fraction = std::min(made.fraction, this->goodput.admission_fraction(request.route, now));
+        auto const refusing = this->context.admits_by_cost()
+                                  ? this->context.rooms.refusing_service_of(request.route, service, now)
+                                  : std::string{};
+        useful = refusing.empty() ? this->goodput.admission_fraction(request.route, now)
+                                  : this->goodput.probing_fraction(request.route);
+        if (!refusing.empty() && useful < made.fraction) {
+            made.limited = {.service = refusing, .fraction = useful, .is_refusing = true, .age = {}};
+        }
     }
+    made.fraction = std::min(made.fraction, useful);
+    // What is held back because it would fail asks for no room.
+    made.offered_weight = useful / made.fraction;
     made.admitted = selection_position(request.selection_hash) < made.fraction;
     return made;
 }
@@ -48,8 +60,11 @@
 void entry_admission::record_room(std::string const& from, std::string const& route,
                                   answer_message const& answer, time_point now) {
     for (auto const& report : answer.admissions) {
-        this->context.rooms.update_room(report.service, from, report.admission_fractions, {report.age_ms},
-                                        now);
+        service_room_view::statement stated{report.admission_fractions, report.answered_fraction, {}};
+        for (auto const& entry : report.organisations) {
+            stated.organisations[entry.organisation] = entry.admission_fractions;
+        }
+        this->context.rooms.update_room(report.service, from, stated, {report.age_ms}, now);
     }
     if (answer.costs.empty()) {
         return;
--- a/libraries/node/request_router.cpp
+++ b/libraries/node/request_router.cpp
@@ -253,7 +253,7 @@
     call.request.trace_id = parent.request.trace_id;
     call.parent_span = parent.span_id;
     if (this->context.admits_by_cost()) {
-        load_accounting::charge(call.request, parent.request);
+        this->local_executor.accounting().charge(call.request, &parent.request);
         this->local_executor.accounting().record_call(call.request.route, parent.request.route, now);
     }
     this->local_executor.add_child_call(parent, call.id, now);
@@ -296,9 +296,7 @@
     auto& accounting = this->local_executor.accounting();
     auto const* charged =
         parent != nullptr ? parent : this->local_executor.find(accounting.draw_parent(call.route));
-    if (charged != nullptr) {
-        load_accounting::charge(call, charged->request);
-    }
+    accounting.charge(call, charged == nullptr ? nullptr : &charged->request);
     accounting.record_call(call.route, "", now);
 }
 
@@ -361,8 +359,11 @@
         }
         return this->finish_with_error(call, {result_code::overloaded, retry_after_ms}, now);
     }
-    call.request.charged_priority = call.request.priority;
-    call.request.offered_weight = 1 / decision.fraction;
+    if (this->context.admits_by_cost()) {
+        call.request.charged_organisation = call.request.organisation;
+        call.request.charged_priority = call.request.priority;
+        call.request.offered_weight = decision.offered_weight;
+    }
     auto const id = call.id;
     this->by_listener_request[{call.side, call.listener_request_id}] = id;
     auto& stored = this->calls.emplace(id, std::move(call)).first->second;
@@ -781,6 +782,9 @@
          {"room_service", call.limited.service},
          {"room_fraction", call.limited.service.empty() ? "" : std::to_string(call.limited.fraction)},
          {"cost_ms", call.limited.service.empty() ? "" : rounded(call.limited.cost)},
+         {"room_reason", call.limited.service.empty() ? ""
+                         : call.limited.is_refusing   ? "service_refuses"
+                                                      : "room_short"},
          {"class", std::to_string(call.request.priority)},
          {"room_age_ms", call.limited.service.empty() ? "" : rounded(call.limited.age.milliseconds)},
          {"attempts_left", std::to_string(call.allowance.remaining())},
--- a/libraries/policy/call_cost_estimator.hpp
+++ b/libraries/policy/call_cost_estimator.hpp
@@ -30,9 +30,15 @@
     /// Refits the rates if that is due.
     void update_if_due(time_point now);
 
+    /// Forgets what the window holds, but not the rates: for a time in which runs fail midway, so that they
+    /// make fewer calls than usual.
+    void discard_window(time_point now);
+
     /// The route whose run probably made a call; drawn by `position` from [0, 1). Empty when none runs.
     std::string draw_parent_route(std::string const& callee, double position) const;
 
+    /// Whether it is known which routes call `callee`.
+    bool is_fitted(std::string const& callee) const;
     /// Calls of `callee` that one run of the route makes; 0 while too little is known.
     double calls_per_run(std::string const& route, std::string const& callee) const;
     /// By callee.
@@ -65,11 +71,21 @@
         std::vector<double> calls_per_run;
     };
 
+    struct rate_fit {
+        std::vector<double> rates;
+        std::vector<double> sums; ///< Calls attributed to each route.
+        double log_likelihood{0};
+    };
+
     std::size_t index_of(std::string const& route);
     std::size_t find_index(std::string const& route) const;
     snapshot take_snapshot(time_point now);
     void advance(run_statistics& entry, time_point now) const;
     static void refit(fit& result, std::deque<snapshot> const& events, snapshot const& now);
+    static void maximise(rate_fit& fitted, std::deque<snapshot> const& events,
+                         std::vector<double> const& exposure);
+    static void drop_insignificant(rate_fit& fitted, std::deque<snapshot> const& events,
+                                   std::vector<double> const& exposure);
 
     std::vector<std::string> names;
     std::vector<run_statistics> routes;
