policy: Send idempotent requests to ejected hosts where no other is left

Placement by wait uses all hosts then. Change: where no host of the service may be used, idempotent requests go to those that are ejected. A host whose probe is under way gets nothing more, as before.

--- a/libraries/policy/target_chooser.cpp
+++ b/libraries/policy/target_chooser.cpp
@@ -161,13 +161,23 @@
                                                   bool idempotent, std::uint64_t random, time_point now) {
     std::vector<candidate_host const*> own_domain;
     std::vector<candidate_host const*> other_domains;
+    // Where no host may be used, an ejected one may still answer: an overloaded service fails at all its
+    // hosts. Requests that must not run twice wait for a host that has answered since.
+    bool const uses_ejected =
+        idempotent && std::ranges::none_of(candidates, [&](candidate_host const& candidate) {
+            return this->may_use(candidate.host, idempotent, now);
+        });
+    auto const may_use = [&](candidate_host const& candidate) {
+        return uses_ejected ? this->is_ejected(candidate.host, now)
+                            : this->may_use(candidate.host, idempotent, now);
+    };
     // Targets without room are used only when no other is left: the host beside the target then decides.
     bool const some_have_room = std::ranges::any_of(candidates, [&](candidate_host const& candidate) {
-        return candidate.has_room && this->may_use(candidate.host, idempotent, now);
+        return candidate.has_room && may_use(candidate);
     });
     for (auto const& candidate : candidates) {
         bool const is_preferred = candidate.has_room || !some_have_room;
-        if (is_preferred && this->may_use(candidate.host, idempotent, now)) {
+        if (is_preferred && may_use(candidate)) {
             (candidate.same_domain ? own_domain : other_domains).push_back(&candidate);
         }
     }
--- a/tests/policy/target_chooser_test.cpp
+++ b/tests/policy/target_chooser_test.cpp
@@ -55,6 +55,26 @@
     CHECK(chooser.choose(only, false, 1, {1503}));
 }
 
+TEST_CASE("when all hosts of an overloaded service are ejected, idempotent requests still go to them") {
+    target_chooser chooser;
+    for (auto const& host : two_domains()) {
+        for (int count = 0; count < 3; ++count) {
+            chooser.record_sent(host.host, {0});
+            chooser.record_answer(host.host, {1}, true, false, {0});
+        }
+        CHECK(chooser.is_ejected(host.host, {10}));
+    }
+    auto counts = choose_many(chooser, two_domains(), 10);
+    CHECK(counts["near-1"] + counts["near-2"] + counts["far-1"] == 300);
+    CHECK_FALSE(chooser.choose(two_domains(), false, 1, {10}));
+    // One that answers again is used alone.
+    chooser.record_sent("far-1", {1500});
+    chooser.record_answer("far-1", {1}, false, false, {1501});
+    chooser.record_sent("near-1", {1500});
+    chooser.record_sent("near-2", {1500});
+    CHECK(choose_many(chooser, two_domains(), 1502)["far-1"] == 300);
+}
+
 TEST_CASE("a host that reports no load but has many requests of this node outstanding is not preferred") {
     target_chooser chooser;
     for (int count = 0; count < 9; ++count) {
