policy: Learn the pace of a target that has started or recovered

Cause: a newly used host counted as half full for 5 s, whatever its target bears; one that is well stays idle and one that is not gets its share all the same. Change: control.target_warm_up = learned lets the host beside the target find a window of concurrent requests from its answers, the third reason of its pace; the default stays fixed, none is for comparison. Not measured yet; the test programs of policy, config and node pass.

--- a/libraries/config/schema.cpp
+++ b/libraries/config/schema.cpp
@@ -93,6 +93,9 @@
      "Pools into which a failure domain's part of each rate is split; the same on all nodes."},
     {"control", "admission", text, 1, max_name, false, "",
      "What admission is decided by: count of requests, or cost at each service below the route."},
+    {"control", "target_warm_up", text, 1, max_name, false, "",
+     "How requests to a target that has started or recovered rise: fixed: over 5 s; learned: as its answers "
+     "keep up; none: at once."},
     {"control", "mode", text, 1, max_name, false, "", "full, or for experiments: off, per_host."},
     {"control", "placement", text, 1, max_name, false, "",
      "What hosts are chosen by: load; wait: expected wait and distance; regional: wait in several "
--- a/libraries/config/settings.cpp
+++ b/libraries/config/settings.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t regional_placement = 2;
 constexpr std::array<std::string_view, 2> call_correlation_names{"token", "deadline"};
 constexpr std::array<std::string_view, 2> admission_basis_names{"count", "cost"};
+constexpr std::array<std::string_view, 3> warm_up_names{"fixed", "learned", "none"};
 constexpr std::array<std::string_view, 5> log_levels{"trace", "debug", "info", "warn", "error"};
 constexpr std::size_t seed_part_count = 4;
 
@@ -201,6 +202,10 @@
                                             reader.get_or<std::string>("control", "admission", "count"),
                                             "control.admission"));
     parsed.admission = static_cast<admission_basis>(admission);
+    BOOST_LEAF_AUTO(warm_up, parse_choice(warm_up_names,
+                                          reader.get_or<std::string>("control", "target_warm_up", "fixed"),
+                                          "control.target_warm_up"));
+    parsed.target_warm_up = static_cast<warm_up_rule>(warm_up);
     parsed.log_level = reader.get_or<std::string>("telemetry", "log_level", parsed.log_level);
     BOOST_LEAF_CHECK(parse_choice(log_levels, parsed.log_level, "telemetry.log_level"));
     parsed.span_file_descriptor = static_cast<int>(
--- a/libraries/config/settings.hpp
+++ b/libraries/config/settings.hpp
@@ -38,6 +38,13 @@
     cost,  ///< The time that a request takes at each service below its route, and the room there.
 };
 
+/// How the requests to a target that has started or recovered rise to its share.
+enum class warm_up_rule : std::uint8_t {
+    fixed,   ///< Over a fixed time, by entry nodes.
+    learned, ///< As its answers show that it bears them, by the host beside the target.
+    none,    ///< At once.
+};
+
 /// A peer that is known before the first host list is read.
 struct seed_peer {
     std::string host;
@@ -85,6 +92,7 @@
     control_mode mode{control_mode::full};
     placement_rule placement{placement_rule::load};
     admission_basis admission{admission_basis::count};
+    warm_up_rule target_warm_up{warm_up_rule::fixed};
     std::string log_level{"info"};
     int span_file_descriptor{-1}; ///< -1 when spans are not written.
     std::string span_url;
--- a/libraries/node/evacuation_control.cpp
+++ b/libraries/node/evacuation_control.cpp
@@ -20,6 +20,7 @@
         if (is_own && !change.is_evacuated) {
             // Targets may have become cold while they got nothing.
             this->local_executor.target().assume_cold("domain_taken_back", now);
+            this->local_executor.target().begin_warm_up("domain_taken_back", now);
         }
         if (!change.is_evacuated) {
             // Its targets have run nothing for a while, so that their load rises like that of new ones.
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t min_queue_capacity = 8;
 /// HTTP status codes from here on are server errors.
 constexpr std::uint16_t first_server_error_status = 500;
+constexpr std::uint16_t busy_status = 503;
 constexpr double refusal_retry_after_ms = 500;
 constexpr double max_reported_ms = 60'000;
 /// A request that ran for this multiple of the usual time until its deadline counts as a failure of the
@@ -48,10 +49,14 @@
     this->queue.set_critical_first(shared.admits_by_cost());
 }
 
-int executor::concurrency_limit() const {
+int executor::limit_without_warm_up() const {
     return this->context.has_full_control() ? this->limiter.limit() : this->slots;
 }
 
+int executor::concurrency_limit() const {
+    return std::min(this->limit_without_warm_up(), this->local_target.learned().window());
+}
+
 void executor::apply_configuration() {
     auto const* own = this->context.configuration == nullptr
                           ? nullptr
@@ -62,6 +67,7 @@
     int const configured = this->listed_slots > 0 ? this->listed_slots : own->slots;
     this->slots = std::max(1, std::min(configured, own->connections));
     this->limiter.set_slots(this->slots);
+    this->local_target.set_slots(this->slots);
 }
 
 own_load executor::load_at_target() const {
@@ -466,6 +472,13 @@
             this->context.pending_effects.spans.push_back(this->make_span(work, answer));
         }
     }
+    auto const* route = this->context.configuration->find_route_by_name(work.request.route);
+    double const objective_ms = route == nullptr ? 0 : route->latency_objective_ms;
+    this->local_target.record_end(
+        {.is_answered = answer.result == outcome::ran &&
+                        answer.status<first_server_error_status, .is_late = objective_ms> 0 &&
+                        now - work.arrived > duration{objective_ms},
+         .has_run = answer.result != outcome::not_run && answer.result != outcome::not_forwarded});
     this->orphan_child_calls(work);
     this->send_answer(work, std::move(answer), now);
     for (auto const& waiter : work.waiters) {
@@ -499,10 +512,11 @@
     this->context.node_metrics.observe(latency_metric::target, elapsed);
     auto const nested = work->nested_call_time +
                         (work->active_nested_calls > 0 ? now - work->nested_calls_since : duration{0});
-    this->record_load(answer, std::max(duration{0.01}, elapsed - nested), elapsed, work->deadline, now);
+    auto const own_time = std::max(duration{0.01}, elapsed - nested);
+    this->record_load(answer, own_time, elapsed, work->deadline, now);
+    this->record_pace(*work, answer, own_time, now);
     if (answer.result == outcome::ran) {
         // Time spent in nested calls is excluded: a slow downstream service must not lower this limit.
-        auto const own_time = std::max(duration{0.01}, elapsed - nested);
         this->limiter.record_completion(own_time, static_cast<int>(this->running), now);
         this->controller.record_completion();
         this->context.request_quarantine.clear_suspicion(work->fingerprint);
@@ -528,6 +542,34 @@
     this->start_queued(now);
 }
 
+void executor::record_pace(execution const& work, target_answer const& answer, duration own_time,
+                           time_point now) {
+    bool const was_learning = this->local_target.learned().is_learning();
+    bool const is_ended_by_caller = answer.code == result_code::cancelled;
+    if (!is_ended_by_caller) {
+        bool const has_failed = answer.result != outcome::ran || answer.status >= first_server_error_status;
+        paced_answer measured{.kind = fast_hash(work.request.route),
+                              .sent = work.started,
+                              .own_time = own_time,
+                              .held_time = now - work.started,
+                              .is_refused = answer.status == busy_status,
+                              .others_wait = this->queue.size() > 0};
+        if (answer.statement && answer.statement->load) {
+            measured.stated_waiting = answer.statement->load->waiting;
+            measured.work_percent = answer.statement->load->work_time_percent.value_or(measured.work_percent);
+        }
+        this->local_target.record_answer(measured, has_failed, now);
+    }
+    this->follow_warm_up(was_learning);
+}
+
+void executor::follow_warm_up(bool was_learning) {
+    auto const& learned = this->local_target.learned();
+    if (was_learning && !learned.is_learning() && learned.has_fallen()) {
+        this->limiter.restart_at(learned.learnt_window());
+    }
+}
+
 void executor::record_load(target_answer const& answer, duration own_time, duration held_time,
                            time_point deadline, time_point now) {
     if (this->estimated_target != this->context.own_target_id) {
@@ -649,12 +691,15 @@
     }
     this->start_queued(now);
     this->pass_on_waiting(now);
+    bool const was_learning = this->local_target.learned().is_learning();
     this->local_target.run_periodic_tasks(now);
+    this->follow_warm_up(was_learning);
     this->controller.record_backlog(this->queue.size() > 0);
     this->load.record_backlog(this->queue.size() > 0);
     this->controller.update_if_due(now);
     if (this->context.admits_by_cost()) {
-        this->load.update_if_due(this->concurrency_limit(),
+        // The room is that of the warm target, else admission would keep away the requests that show it.
+        this->load.update_if_due(this->limit_without_warm_up(),
                                  this->local_target.is_pacing(now) ? this->local_target.pace(now) : 0, now);
     }
     std::vector<std::uint64_t> overdue;
--- a/libraries/node/executor.hpp
+++ b/libraries/node/executor.hpp
@@ -142,6 +142,11 @@
     void send_answer(execution const& work, answer_message answer, time_point now);
     void record_load(target_answer const& answer, duration own_time, duration held_time, time_point deadline,
                      time_point now);
+    /// Lets the learnt pace of the target judge an answer.
+    void record_pace(execution const& work, target_answer const& answer, duration own_time, time_point now);
+    /// When the learning has ended below the slots, the limiter goes on from there.
+    void follow_warm_up(bool was_learning);
+    int limit_without_warm_up() const;
     void record_target_crash(std::uint64_t crashed_request, time_point now);
     void orphan_child_calls(execution& work);
     span make_span(execution const& work, answer_message const& answer) const;
--- a/libraries/node/node_context.hpp
+++ b/libraries/node/node_context.hpp
@@ -42,7 +42,10 @@
         : options(std::move(wanted)), incarnation(own_incarnation),
           peers(options.host, options.failure_domain, pending_effects),
           rate_leases(options.host, options.failure_domain, own_incarnation, limits, started,
-                      options.rate_shards) {}
+                      options.rate_shards) {
+        this->chooser.set_warm_up({.has_fixed_span = options.target_warm_up == warm_up_rule::fixed,
+                                   .awaits_first_answer = this->learns_pace()});
+    }
 
     /// Sends to a host; a message to this host itself is queued and handled before the current event ends.
     /// False when there is no link.
@@ -97,6 +100,10 @@
         return this->options.mode == control_mode::full && this->options.placement == placement_rule::wait;
     }
     bool admits_by_cost() const { return this->options.admission == admission_basis::cost; }
+    /// Whether the host beside a target learns how many requests it bears after it has started or recovered.
+    bool learns_pace() const {
+        return this->has_full_control() && this->options.target_warm_up == warm_up_rule::learned;
+    }
     bool has_full_control() const { return this->options.mode == control_mode::full; }
 
     settings options;
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -51,6 +51,16 @@
     return hosts;
 }
 
+/// How long the listed target has been running, by the clocks of two hosts; empty if that is unknown.
+std::optional<duration> running_time(listed_host const& entry) {
+    if (entry.started_ms == 0) {
+        return std::nullopt;
+    }
+    constexpr double nanoseconds_per_millisecond = 1e6;
+    double const wall_ms = static_cast<double>(wall_clock_nanoseconds()) / nanoseconds_per_millisecond;
+    return duration{wall_ms - static_cast<double>(entry.started_ms)};
+}
+
 } // namespace
 
 node_core::node_core(settings wanted, platform_traits traits, std::uint64_t incarnation, lease_timing limits,
@@ -285,7 +295,7 @@
     this->context.own_target_instance = is_listed ? own->instance : "";
     this->local_executor.target().on_listed(
         is_listed ? make_target_id(own->host, own->instance, own->started_ms) : 0,
-        duration{is_listed ? own->warm_up_ms : 0}, now);
+        duration{is_listed ? own->warm_up_ms : 0}, now, is_listed ? running_time(*own) : std::nullopt);
     // A list that names other hosts but not this one means that its target has left without notice.
     this->context.target_is_leaving = is_listed ? own->leaving : !this->hosts.empty();
     this->local_executor.set_listed_slots(is_listed ? own->slots : 0);
@@ -530,6 +540,8 @@
     node_metrics.set_gauge("target_pace", this->local_executor.target().is_pacing(now)
                                               ? this->local_executor.target().pace(now)
                                               : -1);
+    auto const& learned = this->local_executor.target().learned();
+    node_metrics.set_gauge("target_window", learned.is_learning() ? learned.window() : -1);
     node_metrics.set_gauge("target_leaving", this->local_executor.target().is_leaving() ? 1 : 0);
     node_metrics.set_gauge("domains_evacuated",
                            static_cast<double>(this->context.evacuations.in_force().size()));
--- a/libraries/node/own_target.cpp
+++ b/libraries/node/own_target.cpp
@@ -28,6 +28,16 @@
 /// A target that is taken as cold without having said so is asked only when its pace is about to delay
 /// requests: health checks take a slot of the target.
 constexpr double tokens_without_check = 2;
+/// A process that has just started knows nothing of its target, but one that has run for this long is not
+/// new.
+constexpr duration new_target_age{10'000};
+/// A target that answers again after so many failures in a row, or after it has answered nothing for this
+/// long, and for so many times its usual time, with requests at hand, has recovered.
+constexpr int failures_before_recovery = 8;
+constexpr duration outage_span{1000};
+constexpr double outage_factor = 4;
+constexpr std::size_t min_requests_in_outage = 3;
+constexpr duration max_peer_report_age{3000};
 
 std::string rounded(double value) {
     return std::to_string(std::llround(value));
@@ -50,7 +60,8 @@
     this->update_cold(now);
 }
 
-void own_target::on_listed(target_id listed, duration cold_for, time_point now) {
+void own_target::on_listed(target_id listed, duration cold_for, time_point now,
+                           std::optional<duration> running_for) {
     this->context.own_target_id = listed;
     if (listed == 0) {
         return; // An entry that has expired may be back under the same incarnation.
@@ -59,6 +70,10 @@
         this->coldness.on_listed_again(cold_for, now);
         return this->set_cold_cause("host_list", now);
     }
+    bool const is_known_old = this->incarnation == 0 && running_for && *running_for >= new_target_age;
+    if (!is_known_old) {
+        this->begin_warm_up("new_incarnation", now);
+    }
     this->incarnation = listed;
     this->set_rate_limit(std::nullopt, "new_incarnation", now);
     this->pacer.limit.reset();
@@ -98,8 +113,10 @@
     if (is_gone) {
         this->coldness.note_lost(now);
         this->set_cold_cause("unreachable", now);
+        this->begin_warm_up("unreachable", now);
     } else if (answer.code == result_code::target_replaced) {
         this->assume_cold("replaced", now);
+        this->begin_warm_up("replaced", now);
     } else if (answer.result == outcome::ran || answer.statement) {
         this->last_contact = now;
         this->coldness.note_answer(now);
@@ -107,6 +124,90 @@
     }
 }
 
+void own_target::begin_warm_up(std::string_view reason, time_point now) {
+    auto& learned = this->pacer.learned;
+    if (!this->context.learns_pace() || (learned.is_learning() && learned.begun_at() == now)) {
+        return;
+    }
+    bool const was_learning = learned.is_learning();
+    learned.begin(now);
+    learned.set_peer_time(this->peers_request_time(now));
+    if (!was_learning) {
+        this->context.node_metrics.increment_counter("target_warm_ups");
+        this->context.pending_effects.log(log_level::info, "target_warm_up",
+                                          {{"instance", this->context.own_target_instance},
+                                           {"reason", std::string(reason)},
+                                           {"window", std::to_string(learned.window())}});
+    }
+}
+
+void own_target::record_answer(paced_answer answer, bool has_failed, time_point now) {
+    auto& learned = this->pacer.learned;
+    if (!this->context.learns_pace()) {
+        return;
+    }
+    double const usual_ms = learned.request_time().milliseconds;
+    bool const was_silent = this->last_answer.milliseconds > 0 && now - this->last_answer >= outage_span &&
+                            this->outstanding >= min_requests_in_outage && now - answer.sent >= outage_span &&
+                            (now - answer.sent).milliseconds > outage_factor * usual_ms;
+    this->last_answer = now;
+    int const failed_before = this->consecutive_failures;
+    this->consecutive_failures = has_failed ? failed_before + 1 : 0;
+    if (has_failed && !answer.is_refused) {
+        return;
+    }
+    if (!has_failed && (was_silent || failed_before >= failures_before_recovery)) {
+        this->begin_warm_up(was_silent ? "silence" : "failures", now);
+    }
+    answer.is_cold = this->is_cold;
+    bool const was_learning = learned.is_learning();
+    learned.record_answer(answer, now);
+    if (was_learning && !learned.is_learning()) {
+        this->log_warm_up_end(now);
+    }
+}
+
+void own_target::update_warm_up(time_point now) {
+    auto& learned = this->pacer.learned;
+    if (!learned.is_learning()) {
+        return;
+    }
+    learned.set_peer_time(this->peers_request_time(now));
+    learned.update(this->is_cold, now);
+    if (!learned.is_learning()) {
+        this->log_warm_up_end(now);
+    }
+}
+
+void own_target::log_warm_up_end(time_point now) {
+    auto const& learned = this->pacer.learned;
+    this->context.pending_effects.log(log_level::info, "target_warm_up_ended",
+                                      {{"instance", this->context.own_target_instance},
+                                       {"window", std::to_string(learned.learnt_window())},
+                                       {"falls", std::to_string(learned.fall_count())},
+                                       {"after_ms", rounded((now - learned.begun_at()).milliseconds)}});
+}
+
+duration own_target::peers_request_time(time_point now) const {
+    std::vector<double> reported;
+    for (auto const& name : this->context.peers.listed_hosts()) {
+        auto const* peer = this->context.peers.find(name);
+        bool const is_counted = peer != nullptr && peer->has_report && name != this->context.options.host &&
+                                peer->entry.service == this->context.options.service &&
+                                now - peer->report_time < max_peer_report_age &&
+                                peer->report.target_request_ms > 0;
+        if (is_counted) {
+            reported.push_back(peer->report.target_request_ms);
+        }
+    }
+    if (reported.empty()) {
+        return {0};
+    }
+    auto const middle = reported.begin() + static_cast<std::ptrdiff_t>(reported.size() / 2);
+    std::ranges::nth_element(reported, middle);
+    return {*middle};
+}
+
 void own_target::assume_cold(std::string_view reason, time_point now) {
     this->coldness.assume(now);
     this->set_cold_cause(reason, now);
@@ -290,6 +391,13 @@
     }
 }
 
+void own_target::record_end(request_end const& end) {
+    auto& counted = end.is_answered ? this->since_log.answered
+                                    : (end.has_run ? this->since_log.failed : this->since_log.not_run);
+    ++counted;
+    this->since_log.late += end.is_answered && end.is_late ? 1 : 0;
+}
+
 void own_target::run_periodic_tasks(time_point now) {
     // Where the host list does not tell incarnations apart, the next one would be taken for the one that
     // left.
@@ -298,6 +406,7 @@
         this->leaving = false;
     }
     this->update_cold(now);
+    this->update_warm_up(now);
     if (now - this->logged_at >= log_interval) {
         std::erase_if(this->senders,
                       [now](auto const& sender) { return now - sender.second >= sender_lifetime; });
@@ -311,6 +420,14 @@
     this->logged_at = now;
     auto const reason = this->pacer.binding_reason(now);
     bool const has_counts = totals.sent > 0 || totals.refused > 0;
+    this->context.pending_effects.log(log_level::debug, "target_work",
+                                      {{"instance", this->context.own_target_instance},
+                                       {"sent", std::to_string(totals.sent)},
+                                       {"answered", std::to_string(totals.answered)},
+                                       {"late", std::to_string(totals.late)},
+                                       {"failed", std::to_string(totals.failed)},
+                                       {"not_run", std::to_string(totals.not_run)},
+                                       {"window", std::to_string(this->pacer.learned.window())}});
     if (!this->stated_limit && (reason == pace_reason::none || !has_counts)) {
         return;
     }
--- a/libraries/node/own_target.hpp
+++ b/libraries/node/own_target.hpp
@@ -13,6 +13,13 @@
 
 namespace caraway {
 
+/// How a request ended at the host beside the target.
+struct request_end {
+    bool is_answered{false}; ///< By the target, without an error.
+    bool is_late{false};     ///< Answered after the latency objective of its route.
+    bool has_run{false};
+};
+
 class own_target {
 public:
     own_target(node_context& shared, time_point started) : context(shared), pacer(started) {}
@@ -20,13 +27,20 @@
     /// Takes over what the configuration says of cold targets of the service.
     void apply_configuration(time_point now);
     /// Forgets what the target stated when the host list names another incarnation of it. `cold_for`: how
-    /// much longer it was cold when its entry was written.
-    void on_listed(target_id listed, duration cold_for, time_point now);
+    /// much longer it was cold when its entry was written. `running_for`: since when the incarnation runs;
+    /// empty if that is unknown.
+    void on_listed(target_id listed, duration cold_for, time_point now,
+                   std::optional<duration> running_for = std::nullopt);
     /// Handles the statement of an answer to a request that was meant for `instance` and was sent at `sent`.
     void on_statement(target_statement const& statement, std::string const& instance, time_point sent,
                       time_point now);
     /// Records that a request which was sent to the target has ended; `code` says how.
     void on_request_ended(target_answer const& answer, time_point now);
+    /// Learns from an answer how many requests the target bears. `has_failed`: an error, or no answer.
+    void record_answer(paced_answer answer, bool has_failed, time_point now);
+    /// The target has started or recovered: what it bears is learnt from now on, where the settings say so.
+    void begin_warm_up(std::string_view reason, time_point now);
+    void set_slots(int count) { this->pacer.learned.set_slots(count); }
     /// True when the answer is that of a health check of this class.
     bool on_check_answer(target_answer const& answer, time_point now);
     /// Takes over what other nodes know of the target, unless this process has an answer of it already.
@@ -44,6 +58,7 @@
     /// queued requests are sent, which would use up the pace.
     void check_if_due(time_point now);
 
+    learned_pace const& learned() const { return this->pacer.learned; }
     bool may_send(time_point now) const { return this->pacer.may_send(now); }
     bool is_pacing(time_point now) const { return this->pacer.is_pacing(now); }
     /// Requests per second; only meaningful while requests are paced.
@@ -57,6 +72,8 @@
     }
     /// `nested`: the request is a call that another target makes.
     void record_sent(bool nested, time_point now);
+    /// Records how a request ended at this host, for the operators' log.
+    void record_end(request_end const& end);
     /// Records that a request arrived from the host.
     void record_sender(std::string const& host, time_point now) { this->senders[host] = now; }
     /// Records a refusal because of the pace. Returns when the caller should try again: refused requests are
@@ -81,11 +98,19 @@
         std::uint64_t sent{0};
         std::uint64_t nested{0};
         std::uint64_t refused{0};
+        std::uint64_t answered{0};
+        std::uint64_t late{0};
+        std::uint64_t failed{0};
+        std::uint64_t not_run{0};
     };
 
     void set_rate_limit(std::optional<double> limit, std::string const& source, time_point now);
     void set_leaving(std::string const& source, time_point now);
     void log_counts(time_point now);
+    void update_warm_up(time_point now);
+    void log_warm_up_end(time_point now);
+    /// The median of the times that hosts of the service report for a request; 0 if none does.
+    duration peers_request_time(time_point now) const;
     /// `update_cold` with the reason that is logged if the target is cold from now on.
     void set_cold_cause(std::string_view reason, time_point now);
     /// Fits the pace to what is known of the target now, and logs a change.
@@ -95,6 +120,8 @@
     cold_state coldness;
     bool is_cold{false};
     std::string cold_cause;
+    int consecutive_failures{0};
+    time_point last_answer;
     time_point cold_since;
     std::string health_path;
     std::uint64_t check_id{0};  ///< Of the health check under way; 0 for none.
--- a/libraries/node/status_report.cpp
+++ b/libraries/node/status_report.cpp
@@ -96,6 +96,7 @@
                              {"pools_owned", number(context.rate_leases.pool_count())},
                              {"lent_requests", to_requests(context.rate_leases.outstanding())}};
     auto const& own = sources.local.target();
+    auto const reason = own.binding_reason(now);
     auto const stated_limit = sources.local.target().rate_limit();
     QJsonObject const target{
         {"rate_limit", stated_limit ? QJsonValue(*stated_limit) : QJsonValue()},
@@ -104,8 +105,9 @@
         {"limit_refusals", number(context.node_metrics.counter("target_limit_refusals"))},
         {"cold_ms", own.cold_for(now).milliseconds},
         {"cold_reason", to_qstring(own.cold_for(now) > duration{0} ? own.cold_reason() : "")},
-        {"pace", own.is_pacing(now) ? QJsonValue(own.pace(now)) : QJsonValue()},
-        {"pace_reason", to_qstring(name_of(own.binding_reason(now)))},
+        {"pace", reason == pace_reason::none ? QJsonValue() : QJsonValue(own.pace(now))},
+        {"window", own.learned().is_learning() ? QJsonValue(own.learned().window()) : QJsonValue()},
+        {"pace_reason", to_qstring(name_of(reason))},
         {"states_leaving", sources.local.target().is_leaving()},
         {"in_flight", number(sources.local.in_flight())},
         {"queued", number(sources.local.queue_length())},
--- a/libraries/policy/concurrency_limiter.cpp
+++ b/libraries/policy/concurrency_limiter.cpp
@@ -38,6 +38,14 @@
     this->current_limit = was_at_max ? this->slots : std::min(this->current_limit, this->slots);
 }
 
+void concurrency_limiter::restart_at(int known_limit) {
+    this->current_limit = std::clamp<double>(known_limit, 1, this->slots);
+    this->limit_before_trial = 0;
+    this->baseline_time = {0};
+    this->samples.clear();
+    this->max_in_flight = 0;
+}
+
 int concurrency_limiter::limit() const {
     return std::max(1, static_cast<int>(std::lround(this->current_limit)));
 }
--- a/libraries/policy/concurrency_limiter.hpp
+++ b/libraries/policy/concurrency_limiter.hpp
@@ -17,6 +17,8 @@
     explicit concurrency_limiter(int slots);
 
     void set_slots(int count);
+    /// Begins anew from a limit that the target is known to bear.
+    void restart_at(int known_limit);
 
     /// `service_time` excludes nested calls; `in_flight` includes the completed request.
     void record_completion(duration service_time, int in_flight, time_point now);
--- a/libraries/policy/target_chooser.cpp
+++ b/libraries/policy/target_chooser.cpp
@@ -26,6 +26,8 @@
 constexpr double spill_threshold = 0.85;
 constexpr double response_time_smoothing = 0.1;
 constexpr std::size_t max_recent_sends = 1024;
+/// A first request that takes longer than this no longer keeps others back.
+constexpr duration first_answer_span{500};
 
 } // namespace
 
@@ -51,6 +53,7 @@
     auto const found = this->hosts.find(host);
     if (found != this->hosts.end()) {
         found->second.is_new = true;
+        found->second.is_unproven = true;
     }
 }
 
@@ -68,6 +71,7 @@
     }
     if (!failed) {
         state.consecutive_failures = 0;
+        state.is_unproven = false;
         state.ejections = refused ? state.ejections : 0;
         state.smoothed_response_ms +=
             response_time_smoothing * (response_time.milliseconds - state.smoothed_response_ms);
@@ -79,6 +83,7 @@
         state.ejected_until = now + std::min(span, max_ejection_span);
         ++state.ejections;
         state.first_used = state.ejected_until;
+        state.is_unproven = true;
     }
 }
 
@@ -135,14 +140,30 @@
     // The report may be outdated; the requests of this node are a lower bound for the host's load.
     double const reported = candidate.report_age < report_lifetime ? candidate.reported_in_flight : 0;
     if (found == this->hosts.end()) {
-        return reported / limit + cold_penalty;
+        return reported / limit + this->warm_up_penalty({}, now);
     }
     auto const& state = found->second;
     double const in_flight = std::max(reported, static_cast<double>(state.outstanding));
     double const refusals = state.refusals * std::exp(-((now - state.refusals_at) / refusal_time_constant));
+    return in_flight / limit + refusal_cost * refusals + this->warm_up_penalty(state, now);
+}
+
+double target_chooser::warm_up_penalty(host_state const& state, time_point now) const {
+    if (!this->warm_up.has_fixed_span) {
+        return 0;
+    }
     double const warm_fraction =
         state.is_new ? 0 : std::clamp((now - state.first_used) / warm_up_span, 0.0, 1.0);
-    return in_flight / limit + refusal_cost * refusals + cold_penalty * (1 - warm_fraction);
+    return cold_penalty * (1 - warm_fraction);
+}
+
+bool target_chooser::awaits_first_answer(std::string const& host, time_point now) const {
+    auto const found = this->hosts.find(host);
+    if (!this->warm_up.awaits_first_answer || found == this->hosts.end()) {
+        return false;
+    }
+    auto const& state = found->second;
+    return state.is_unproven && state.outstanding > 0 && now - state.first_used < first_answer_span;
 }
 
 candidate_host const* target_chooser::pick_less_loaded(std::vector<candidate_host const*> const& usable,
@@ -165,8 +186,13 @@
     bool const some_have_room = std::ranges::any_of(candidates, [&](candidate_host const& candidate) {
         return candidate.has_room && this->may_use(candidate.host, idempotent, now);
     });
+    bool const some_have_answered = std::ranges::any_of(candidates, [&](candidate_host const& candidate) {
+        return (candidate.has_room || !some_have_room) && this->may_use(candidate.host, idempotent, now) &&
+               !this->awaits_first_answer(candidate.host, now);
+    });
     for (auto const& candidate : candidates) {
-        bool const is_preferred = candidate.has_room || !some_have_room;
+        bool const is_preferred = (candidate.has_room || !some_have_room) &&
+                                  !(some_have_answered && this->awaits_first_answer(candidate.host, now));
         if (is_preferred && this->may_use(candidate.host, idempotent, now)) {
             (candidate.same_domain ? own_domain : other_domains).push_back(&candidate);
         }
--- a/libraries/policy/target_chooser.hpp
+++ b/libraries/policy/target_chooser.hpp
@@ -33,6 +33,12 @@
     double failure_fraction{0};    ///< Of the latest answers of its target.
 };
 
+/// How a host whose target has started or recovered gets its share of requests.
+struct warm_up_treatment {
+    bool has_fixed_span{true};       ///< Its load counts as higher for a fixed time.
+    bool awaits_first_answer{false}; ///< This node sends one request before it sends others.
+};
+
 /// Where a request is sent.
 struct placement {
     std::string host;
@@ -42,6 +48,8 @@
 
 class target_chooser {
 public:
+    void set_warm_up(warm_up_treatment wanted) { this->warm_up = wanted; }
+
     void record_sent(std::string const& host, time_point now);
 
     /// `failed` means that the host or its target broke down, `refused` that it was overloaded.
@@ -84,7 +92,8 @@
         int ejections{0};
         time_point ejected_until;
         bool probing{false};
-        bool is_new{true}; ///< Not used yet, or not since `restart_use`.
+        bool is_new{true};      ///< Not used yet, or not since `restart_use`.
+        bool is_unproven{true}; ///< Has not answered since then or since its ejection.
         time_point first_used;
         std::deque<time_point> recent_sends; ///< Of the last `report_lifetime`.
         time_point answered_at;   ///< The last answer, or the first request sent since none was outstanding.
@@ -103,11 +112,17 @@
     scored_host score(candidate_host const& candidate, double usual_failures, time_point now) const;
 
     double load_of(candidate_host const& candidate, time_point now) const;
+    /// The part of a host's limit that counts as occupied because the host is newly used.
+    double warm_up_penalty(host_state const& state, time_point now) const;
+    /// Whether the first request to a host is under way: each entry node sends one before it hears how many
+    /// the target bears.
+    bool awaits_first_answer(std::string const& host, time_point now) const;
     bool may_use(std::string const& host, bool idempotent, time_point now) const;
     candidate_host const* pick_less_loaded(std::vector<candidate_host const*> const& usable,
                                            std::uint64_t random, time_point now) const;
 
     std::map<std::string, host_state> hosts;
+    warm_up_treatment warm_up;
 };
 
 } // namespace caraway
--- a/libraries/policy/target_pace.cpp
+++ b/libraries/policy/target_pace.cpp
@@ -7,7 +7,7 @@
 namespace caraway {
 
 std::string_view name_of(pace_reason reason) {
-    static constexpr std::array<std::string_view, 3> names{"none", "stated_limit", "cold"};
+    static constexpr std::array<std::string_view, 4> names{"none", "stated_limit", "cold", "learned"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -23,10 +23,17 @@
 double target_pace::pace(time_point now) const {
     double slowest = std::numeric_limits<double>::max();
     slowest = this->limit.is_pacing(now) ? std::min(slowest, this->limit.pace(now)) : slowest;
-    return this->cold.is_pacing(now) ? std::min(slowest, this->cold.pace(now)) : slowest;
+    slowest = this->cold.is_pacing(now) ? std::min(slowest, this->cold.pace(now)) : slowest;
+    if (this->learned.is_learning() && (this->learned.pace() > 0 || !this->is_pacing(now))) {
+        slowest = std::min(slowest, this->learned.pace());
+    }
+    return slowest;
 }
 
 pace_reason target_pace::binding_reason(time_point now) const {
+    if (this->learned.is_learning() && (!this->is_pacing(now) || this->learned.pace() == this->pace(now))) {
+        return pace_reason::learned;
+    }
     if (!this->is_pacing(now)) {
         return pace_reason::none;
     }
--- a/libraries/policy/target_placement.cpp
+++ b/libraries/policy/target_placement.cpp
@@ -16,9 +16,6 @@
 constexpr duration link_time_constant{3000};
 constexpr double link_smoothing = 0.2;
 constexpr duration refusal_time_constant{500};
-constexpr duration warm_up_span{5000};
-/// Added to the occupied part of a host that is newly used; declines to 0 over `warm_up_span`.
-constexpr double cold_penalty = 0.5;
 constexpr double default_request_ms = 50;
 constexpr double max_slowdown = 4;
 /// Hosts without a queue are compared by this much for their occupied part.
@@ -94,10 +91,8 @@
     double const recent = fade(candidate.report_age, wait_time_constant);
     double const slowdown =
         1 + (std::clamp(candidate.work_time_percent / 100, 1.0, max_slowdown) - 1) * recent;
-    double const warm_fraction =
-        state.is_new ? 0.0 : std::clamp((now - state.first_used) / warm_up_span, 0.0, 1.0);
     double const present = this->requests_at(candidate, state, now);
-    double const in_flight = present * slowdown + limit * cold_penalty * (1 - warm_fraction);
+    double const in_flight = present * slowdown + limit * this->warm_up_penalty(state, now);
     double const refusals = state.refusals * fade(now - state.refusals_at, refusal_time_constant);
     double const excess_failures = candidate.failure_fraction - usual_failures;
     double const failures = excess_failures > tolerated_failures ? excess_failures : 0;
@@ -143,6 +138,12 @@
     if (std::ranges::any_of(usable, [](auto const* candidate) { return candidate->has_room; })) {
         std::erase_if(usable, [](auto const* candidate) { return !candidate->has_room; });
     }
+    auto const awaits_answer = [this, now](candidate_host const* candidate) {
+        return this->awaits_first_answer(candidate->host, now);
+    };
+    if (!std::ranges::all_of(usable, awaits_answer)) {
+        std::erase_if(usable, awaits_answer);
+    }
     return usable;
 }
 
--- a/tests/policy/target_chooser_test.cpp
+++ b/tests/policy/target_chooser_test.cpp
@@ -64,3 +64,50 @@
     auto const counts = choose_many(chooser, two_domains(), 10'000);
     CHECK(counts.at("near-2") == 300);
 }
+
+// All entry nodes hear of a new host at the same moment, and hear nothing more until it answers.
+TEST_CASE("84 entry nodes that know a joiner by an old report send it one request each, and soon") {
+    constexpr int nodes = 84;
+    std::vector<candidate_host> hosts;
+    for (int index = 0; index < 10; ++index) {
+        hosts.push_back({.host = "old-" + std::to_string(index), .reported_in_flight = 30, .limit = 60});
+    }
+    std::mt19937_64 random(3);
+    std::vector<target_chooser> choosers(nodes);
+    for (auto& chooser : choosers) {
+        chooser.set_warm_up({.has_fixed_span = false, .awaits_first_answer = true});
+        for (auto const& known : hosts) {
+            chooser.record_sent(known.host, {0});
+            chooser.record_answer(known.host, {100}, false, false, {100});
+        }
+    }
+    hosts.push_back({.host = "joiner", .reported_in_flight = 0, .limit = 8});
+    for (double now = 1000; now < 1400; now += 100) {
+        for (auto& chooser : choosers) {
+            auto const chosen = chooser.choose(hosts, true, random(), {now});
+            chooser.record_sent(*chosen, {now});
+        }
+    }
+    int at_joiner = 0;
+    for (auto const& chooser : choosers) {
+        CHECK(chooser.outstanding("joiner") <= 1);
+        at_joiner += chooser.outstanding("joiner");
+    }
+    CHECK(at_joiner >= 1);
+    auto& first = choosers.front();
+    first.record_sent("joiner", {1400});
+    first.record_answer("joiner", {100}, false, false, {1500});
+    std::vector<candidate_host> const only{hosts.back()};
+    CHECK(first.choose(only, true, 1, {1500}) == "joiner");
+}
+
+TEST_CASE("hosts that have not answered yet are used when no others are left") {
+    target_chooser chooser;
+    chooser.set_warm_up({.has_fixed_span = false, .awaits_first_answer = true});
+    auto const hosts = two_domains();
+    for (auto const& host : hosts) {
+        chooser.record_sent(host.host, {1000});
+    }
+    CHECK(chooser.choose(hosts, true, 1, {1001}));
+    CHECK(chooser.place(hosts, true, 1, {1001}));
+}
