policy: Report a joiner's window once half of it is used, and learn only after own outages

Targets whose calls failed, as the service below was down, began to learn again (17 of 40 times). Change: reports carry the window once half of it is used; failed answers are no reason, and silence counts by the target's own time.

--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -57,6 +57,11 @@
     return std::min(this->limit_without_warm_up(), this->local_target.learned().window());
 }
 
+int executor::reported_limit() const {
+    auto const present = this->running + this->queue.size();
+    return std::min(this->limit_without_warm_up(), this->local_target.learned().reported_limit(present));
+}
+
 void executor::apply_configuration() {
     auto const* own = this->context.configuration == nullptr
                           ? nullptr
--- a/libraries/node/executor.hpp
+++ b/libraries/node/executor.hpp
@@ -114,6 +114,8 @@
     std::size_t execution_count() const { return this->executions.size(); }
     std::size_t stored_ticket_count() const { return this->tickets.size(); }
     int concurrency_limit() const;
+    /// The limit for reports to other nodes.
+    int reported_limit() const;
     /// Adds how long requests take and wait at the own target to a report of this node.
     void describe_load(host_report& report, time_point now) const;
     own_target const& target() const { return this->local_target; }
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -83,7 +83,7 @@
         .ticket_window = this->local_executor.ticket_window(now),
         .in_flight = static_cast<std::uint32_t>(this->local_executor.in_flight() +
                                                 this->local_executor.queue_length()),
-        .limit = static_cast<std::uint32_t>(this->local_executor.concurrency_limit()),
+        .limit = static_cast<std::uint32_t>(this->local_executor.reported_limit()),
         .leaving = this->context.phase == node_phase::draining || this->context.phase == node_phase::stopped,
         .serving = this->context.phase == node_phase::serving && this->context.configuration != nullptr};
     this->local_executor.target().describe(report, now);
--- a/libraries/node/own_target.cpp
+++ b/libraries/node/own_target.cpp
@@ -31,9 +31,8 @@
 /// A process that has just started knows nothing of its target, but one that has run for this long is not
 /// new.
 constexpr duration new_target_age{10'000};
-/// A target that answers again after so many failures in a row, or after it has answered nothing for this
-/// long, and for so many times its usual time, with requests at hand, has recovered.
-constexpr int failures_before_recovery = 8;
+/// A target that answers again after it has answered nothing for this long, and for so many times its usual
+/// time, with requests at hand, has recovered.
 constexpr duration outage_span{1000};
 constexpr double outage_factor = 4;
 constexpr std::size_t min_requests_in_outage = 3;
@@ -147,17 +146,16 @@
         return;
     }
     double const usual_ms = learned.request_time().milliseconds;
+    // Only the target's own time: one that waits for a service below has not stood still.
     bool const was_silent = this->last_answer.milliseconds > 0 && now - this->last_answer >= outage_span &&
-                            this->outstanding >= min_requests_in_outage && now - answer.sent >= outage_span &&
-                            (now - answer.sent).milliseconds > outage_factor * usual_ms;
+                            this->outstanding >= min_requests_in_outage && answer.own_time >= outage_span &&
+                            answer.own_time.milliseconds > outage_factor * usual_ms;
     this->last_answer = now;
-    int const failed_before = this->consecutive_failures;
-    this->consecutive_failures = has_failed ? failed_before + 1 : 0;
     if (has_failed && !answer.is_refused) {
         return;
     }
-    if (!has_failed && (was_silent || failed_before >= failures_before_recovery)) {
-        this->begin_warm_up(was_silent ? "silence" : "failures", now);
+    if (was_silent) {
+        this->begin_warm_up("silence", now);
     }
     answer.is_cold = this->is_cold;
     bool const was_learning = learned.is_learning();
--- a/libraries/node/own_target.hpp
+++ b/libraries/node/own_target.hpp
@@ -120,7 +120,6 @@
     cold_state coldness;
     bool is_cold{false};
     std::string cold_cause;
-    int consecutive_failures{0};
     time_point last_answer;
     time_point cold_since;
     std::string health_path;
--- a/libraries/policy/learned_pace.cpp
+++ b/libraries/policy/learned_pace.cpp
@@ -60,6 +60,11 @@
     return static_cast<int>(std::max(1.0, std::floor(this->current_window)));
 }
 
+int learned_pace::reported_limit(std::size_t present) const {
+    bool const is_half_used = present * 2 > static_cast<std::size_t>(this->window());
+    return is_half_used ? this->window() : static_cast<int>(this->slots);
+}
+
 double learned_pace::pace() const {
     constexpr double milliseconds_per_second = 1000;
     return this->mean_held_ms > 0 ? this->window() * milliseconds_per_second / this->mean_held_ms : 0;
--- a/libraries/policy/learned_pace.hpp
+++ b/libraries/policy/learned_pace.hpp
@@ -43,6 +43,9 @@
     bool is_learning() const { return this->learning; }
     /// Requests that may be at the target at once; its slots when nothing is learnt.
     int window() const;
+    /// The limit that other nodes weigh the requests at the target over. It is the window once half of it is
+    /// used. Before, a small window would make a target that is nearly idle look busier than its peers.
+    int reported_limit(std::size_t present) const;
     /// Requests per second; 0 before the first answer.
     double pace() const;
     /// How long a request holds a slot, by the latest answers; 0 before the first.
--- a/tests/policy/learned_pace_test.cpp
+++ b/tests/policy/learned_pace_test.cpp
@@ -132,6 +132,16 @@
     CHECK_FALSE(bench.pace.is_learning());
 }
 
+// Its peers have a tenth of their slots in use: four of eight must not look like half of them.
+TEST_CASE("a joiner beside idle peers does not look busier than they are") {
+    learned_pace pace;
+    pace.set_slots(64);
+    pace.begin({1000});
+    CHECK(pace.reported_limit(4) == 64);
+    CHECK(pace.reported_limit(5) == 8);
+    CHECK(pace.reported_limit(12) == 8);
+}
+
 TEST_CASE("a target of one slot gets its first request at once") {
     warm_up_bench bench({.slots = 1});
     bench.pace.begin({bench.now});
