--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -58,7 +58,7 @@
     : context(std::move(wanted), incarnation, with_tolerance(limits, traits.quota_tolerance), started),
       local_executor(context, started), evacuation(context, local_executor), router(context, local_executor),
       documents(context.pending_effects, started, traits.has_monotonic_reads),
-      tolerance(traits.quota_tolerance), last_event_time(started) {
+      tolerance(traits.quota_tolerance), used_rates(traits.former_rate_span), last_event_time(started) {
     this->context.tolerated_cold = traits.cold;
     this->context.make_own_report = [this] { return this->own_report(this->last_event_time); };
     // Configured peers allow links before any host list has been read; rate leases need the list itself.
@@ -228,10 +228,10 @@
     return this->hosts.empty() ? 0 : static_cast<double>(in_domain) / static_cast<double>(this->hosts.size());
 }
 
-rate_limit node_core::make_rate_limit(organisation const& entry, rate_plan const& plan) const {
+rate_limit node_core::make_rate_limit(rate_part const& whole, rate_plan const& plan) const {
     if (plan.pool_domains.empty()) {
         double const weight = this->domain_rate_fraction() * plan.division.leased_fraction;
-        return {.rate = entry.rate * weight, .burst = entry.burst * weight};
+        return {.rate = whole.rate * weight, .burst = whole.burst * weight};
     }
     rate_limit limit{.pool_domains = plan.pool_domains, .reserve = plan.reserve};
     if (limit.has_pools_in(this->context.options.failure_domain)) {
@@ -252,15 +252,20 @@
     // A host that is not listed is not counted by the others, so it has no even share.
     bool const is_listed =
         std::ranges::find(this->hosts, this->context.options.host, &listed_host::host) != this->hosts.end();
-    std::unordered_map<std::string, rate_limit> limits;
-    std::unordered_map<std::string, rate_division> divisions;
+    std::unordered_map<std::string, rate_part> configured;
     for (auto const& [name, entry] : this->context.configuration->organisations()) {
-        if (!entry.is_limited()) {
-            continue;
+        if (entry.is_limited()) {
+            configured[name] = {entry.rate, entry.burst};
         }
+    }
+    this->used_rates.update(configured, now);
+    std::unordered_map<std::string, rate_limit> limits;
+    std::unordered_map<std::string, rate_division> divisions;
+    for (auto const& [name, wanted] : configured) {
+        auto const used = this->used_rates.limit(name, now);
         auto const plan =
-            plan_rate(name, entry.rate, entry.burst, domains, this->hosts.size(), this->tolerance);
-        limits[name] = this->make_rate_limit(entry, plan);
+            plan_rate(name, used.rate, used.burst, domains, this->hosts.size(), this->tolerance);
+        limits[name] = this->make_rate_limit(used, plan);
         if (is_listed) {
             divisions[name] = plan.division;
         }
@@ -433,6 +438,9 @@
     this->documents.run_periodic_tasks(now);
     if (now >= this->next_lease_tasks) {
         this->next_lease_tasks = now + lease_task_interval;
+        if (this->used_rates.remove_expired(now)) {
+            this->configure_rate_limits(now);
+        }
         this->context.rate_leases.run_periodic_tasks(now, this->router.count_waiting_for_rate_token());
     }
     if (now >= this->next_peer_tasks) {
--- a/libraries/node/node_core.hpp
+++ b/libraries/node/node_core.hpp
@@ -9,6 +9,7 @@
 #include "node/node_context.hpp"
 #include "node/request_router.hpp"
 #include "platform/platform_source.hpp"
+#include "policy/former_rates.hpp"
 
 #include <memory>
 #include <string>
@@ -58,7 +59,7 @@
     /// The fraction of every rate and burst that belongs to the own failure domain: its configured weight, or
     /// else its fraction of the listed hosts.
     double domain_rate_fraction() const;
-    rate_limit make_rate_limit(organisation const& entry, rate_plan const& plan) const;
+    rate_limit make_rate_limit(rate_part const& whole, rate_plan const& plan) const;
     std::vector<std::string> listed_readers() const;
     void observe_readers(time_point now);
     void configure_rate_limits(time_point now);
@@ -81,6 +82,7 @@
     document_replicator documents;
     std::vector<listed_host> hosts;
     rate_tolerance tolerance;
+    former_rates used_rates;                                    ///< Of the organisations.
     std::array<time_point, document_kind_count> in_force_since; ///< By document kind.
     time_point last_event_time;
     time_point next_gossip;
--- a/libraries/platform/platform_source.hpp
+++ b/libraries/platform/platform_source.hpp
@@ -43,6 +43,8 @@
     bool has_monotonic_reads{false};
     /// How far the platform lets the fleet exceed an organisation's rate limit; not at all by default.
     rate_tolerance quota_tolerance;
+    /// How long a higher rate stays in force after a configuration has lowered it.
+    duration former_rate_span{0};
     /// How far the platform lets the fleet exceed what a cold target accepts; not at all by default.
     cold_tolerance cold;
 };
