--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -25,10 +25,15 @@
 /// Used if the target states no limit. Shorter than targets commonly allow, so that the target seldom closes
 /// a connection that is just being reused.
 constexpr duration default_idle_limit{2000};
+/// Fraction of the target's idle limit within which a connection is reused. It is smaller for non-idempotent
+/// requests, which can't be retried if the target closes the connection at the same moment.
+constexpr double idempotent_reuse_fraction = 0.8;
+constexpr double non_idempotent_reuse_fraction = 0.5;
 /// The target is on this host; if a connect takes longer, the target accepts no connections.
 constexpr double connect_timeout_ms = 1000;
 /// Answers to earlier requests that are skipped before the connection is given up.
 constexpr int max_stray_answers = 4;
+constexpr std::size_t max_idle_connections = 4096;
 /// With fewer calls in progress, a request opens a connection at once: none is likely to become free in time.
 constexpr std::size_t min_calls_to_wait = 4;
 
@@ -48,6 +53,7 @@
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
+    time_point idle_since;
     duration idle_limit{default_idle_limit};
 };
 
@@ -107,7 +113,6 @@
         if (this->connection == nullptr) {
             return false;
         }
-        this->is_on_reused_connection = true;
         this->set_timeout(this->request.timeout_ms);
         this->write();
         return true;
@@ -223,9 +228,6 @@
         if (!connection_lost) {
             return this->finish(outcome::unknown, result_code::target_malformed);
         }
-        if (this->is_on_reused_connection) {
-            this->client.idle_connections.note_early_close(monotonic_clock::now());
-        }
         this->probe_target();
     }
 
@@ -371,7 +373,6 @@
     std::optional<http::response_parser<http::string_body>> parser;
     asio::steady_timer wait_timer;
     bool is_waiting{false}; ///< For a connection that another call uses.
-    bool is_on_reused_connection{false};
     bool was_cancelled{false};
     int stray_answers{0}; ///< Skipped answers to other requests.
 };
@@ -426,19 +427,28 @@
 
 std::unique_ptr<target_connection> target_client::acquire_idle(bool idempotent) {
     auto const now = monotonic_clock::now();
-    while (auto connection = this->idle_connections.take(idempotent, now)) {
-        if (connection->is_usable()) {
+    while (!this->idle_connections.empty()) {
+        auto const& newest = *this->idle_connections.back();
+        auto const age = now - newest.idle_since;
+        bool const is_sound = age < newest.idle_limit * idempotent_reuse_fraction;
+        if (is_sound && !idempotent && age >= newest.idle_limit * non_idempotent_reuse_fraction) {
+            return nullptr; // Idempotent requests may still use it.
+        }
+        auto connection = std::move(this->idle_connections.back());
+        this->idle_connections.pop_back();
+        if (is_sound && connection->is_usable()) {
             return connection;
         }
-        this->idle_connections.note_early_close(now);
     }
     return nullptr;
 }
 
 void target_client::keep_for_reuse(std::unique_ptr<target_connection> connection) {
     connection->stream.expires_never();
-    auto const limit = connection->idle_limit;
-    this->idle_connections.put(std::move(connection), limit, monotonic_clock::now());
+    connection->idle_since = monotonic_clock::now();
+    if (this->idle_connections.size() < max_idle_connections) {
+        this->idle_connections.push_back(std::move(connection));
+    }
     this->start_waiting_calls();
 }
 
--- a/libraries/http/target_client.hpp
+++ b/libraries/http/target_client.hpp
@@ -10,7 +10,6 @@
 #include "base/header_field.hpp"
 #include "base/result_code.hpp"
 #include "http/http_dialect.hpp"
-#include "http/idle_pool.hpp"
 #include "http/target_statement.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -22,6 +21,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace caraway {
 
@@ -99,7 +99,8 @@
 
     void run_commands();
     boost::asio::ip::tcp::endpoint target_endpoint() const;
-    /// Returns an idle connection that is still open, or null.
+    /// Returns an idle connection that the target should still keep open, or null. For a non-idempotent
+    /// request the connection must be further from the target's idle limit.
     std::unique_ptr<target_connection> acquire_idle(bool idempotent);
     void keep_for_reuse(std::unique_ptr<target_connection> connection);
     /// Whether a connection in use is likely to become free within the time that a request may wait for one.
@@ -112,7 +113,7 @@
     boost::asio::io_context& context;
     bounded_queue<command> commands;
     std::unordered_map<std::uint64_t, std::weak_ptr<target_call>> calls;
-    idle_pool<target_connection> idle_connections;
+    std::vector<std::unique_ptr<target_connection>> idle_connections;
     std::deque<std::weak_ptr<target_call>> waiting_calls; ///< For a connection that another call uses.
 };
 
