carawayctl: Show evacuations and cold targets of several nodes at once

Cause: which failure domains are emptied, since when and at how many nodes, and which targets are cold until when could be seen only node by node.

Change: 'carawayctl fleet IP:PORT...' merges the status pages: each evacuated domain with its request and the number of nodes where it is in force, and each cold, limited or leaving target as its own host sees it. Exits 3 while an evacuation is not in force everywhere, 1 when a node does not answer.

--- a/utilities/carawayctl/commands.cpp
+++ b/utilities/carawayctl/commands.cpp
@@ -4,6 +4,7 @@
 #include "config/bundle.hpp"
 #include "config/configuration_review.hpp"
 #include "configuration_check.hpp"
+#include "fleet_view.hpp"
 #include "http_get.hpp"
 #include "request_log.hpp"
 
@@ -13,6 +14,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
@@ -160,6 +162,57 @@
     return document.object().value("ready").toBool() ? exit_success : exit_problem;
 }
 
+void print_fleet_view(fleet_view const& view) {
+    std::cout << "evacuated failure domains:" << (view.domains().empty() ? " none" : "") << '\n';
+    for (auto const& [name, domain] : view.domains()) {
+        std::cout << "  " << name << " since revision " << domain.since << ", in force at "
+                  << domain.node_count << " of " << view.node_count() << " nodes, for "
+                  << std::llround(domain.in_force_ms) << " ms"
+                  << (domain.is_kept_after_restore ? ", kept after a restore" : "") << '\n';
+    }
+    auto const targets = view.targets();
+    std::cout << "cold, limited or leaving targets:" << (targets.empty() ? " none" : "") << '\n';
+    for (auto const& [host, target] : targets) {
+        std::cout << "  " << host << " (" << target.service << ", " << target.failure_domain << ")";
+        if (target.cold_ms > 0) {
+            std::cout << " cold for " << std::llround(target.cold_ms) << " ms more"
+                      << (target.cold_reason.empty() ? "" : ": " + target.cold_reason);
+        }
+        if (target.rate_limit) {
+            std::cout << " limit " << *target.rate_limit << "/s";
+        }
+        std::cout << (target.is_leaving ? " leaving" : "") << '\n';
+    }
+}
+
+result<int> fleet(command_line const& line) {
+    fleet_view view;
+    bool has_all_answers = true;
+    for (auto const& address : line.operands) {
+        auto const status = attempt_or(
+            [&]() -> result<QJsonObject> {
+                BOOST_LEAF_AUTO(body, http_get("http://" + address + "/status"));
+                return QJsonDocument::fromJson(QByteArray::fromStdString(body)).object();
+            },
+            [](problem const&) { return QJsonObject{}; });
+        if (status.isEmpty()) {
+            std::cerr << address << " does not answer.\n";
+            has_all_answers = false;
+            continue;
+        }
+        view.add(status);
+    }
+    if (line.json) {
+        print_json(QJsonDocument(view.to_json()));
+    } else {
+        print_fleet_view(view);
+    }
+    if (!has_all_answers) {
+        return exit_problem;
+    }
+    return view.is_uniform() ? exit_success : exit_warning;
+}
+
 struct span_row {
     QString id;
     QString parent;
@@ -385,6 +438,10 @@
     {"show", "DIR", 1, "print the merged folder with the file and line of each value", show},
     {"status", "IP:PORT", 1, "print a node's status from its operators' address; fails unless it is ready",
      status},
+    {"fleet", "IP:PORT...", 1,
+     "print which failure domains are evacuated at which of these nodes, and which targets are cold, limited "
+     "or leaving",
+     fleet},
     {"trace", "ID FILE...", 2, "print the call tree of a trace or request id from span files", trace},
     {"explain-request", "ID [LOG...]", 1,
      "print what the nodes' logs, or standard input, say of a request and its calls", explain_request},
