policy, tests: Let the load return to a domain that is taken back, whatever load the others have

Cause: a host that is used again counted as new until its next use, with a penalty of half its limit.

Change: the penalty declines from the moment the domain is taken back.

A host that a node has never used has the same penalty without decline, which this does not change.

--- a/libraries/node/evacuation_control.cpp
+++ b/libraries/node/evacuation_control.cpp
@@ -24,7 +24,7 @@
         if (!change.is_evacuated) {
             // Its targets have run nothing for a while, so that their load rises like that of new ones.
             for (auto const& host : this->context.peers.hosts_in(change.domain)) {
-                this->context.chooser.restart_use(host);
+                this->context.chooser.restart_use(host, now);
             }
         }
     }
--- a/libraries/policy/target_chooser.cpp
+++ b/libraries/policy/target_chooser.cpp
@@ -47,10 +47,11 @@
     }
 }
 
-void target_chooser::restart_use(std::string const& host) {
+void target_chooser::restart_use(std::string const& host, time_point now) {
     auto const found = this->hosts.find(host);
     if (found != this->hosts.end()) {
-        found->second.is_new = true;
+        // Not from its next use, which may never come while others have little load.
+        found->second.first_used = now;
     }
 }
 
--- a/libraries/policy/target_chooser.hpp
+++ b/libraries/policy/target_chooser.hpp
@@ -59,8 +59,8 @@
     std::optional<std::string> choose(std::vector<candidate_host> const& candidates, bool idempotent,
                                       std::uint64_t random, time_point now);
 
-    /// The host's next use counts as its first: its target has had no work for a while.
-    void restart_use(std::string const& host);
+    /// The host counts as newly used from now on: its target has had no work for a while.
+    void restart_use(std::string const& host, time_point now);
 
     /// Like `choose`, by expected wait and distance. Ejected hosts are probed while more than half of the
     /// candidates are ejected, and all are used when all are ejected.
@@ -84,7 +84,7 @@
         int ejections{0};
         time_point ejected_until;
         bool probing{false};
-        bool is_new{true}; ///< Not used yet, or not since `restart_use`.
+        bool is_new{true}; ///< Not used yet.
         time_point first_used;
         std::deque<time_point> recent_sends; ///< Of the last `report_lifetime`.
         time_point answered_at;   ///< The last answer, or the first request sent since none was outstanding.
--- a/tests/policy/target_chooser_test.cpp
+++ b/tests/policy/target_chooser_test.cpp
@@ -64,3 +64,19 @@
     auto const counts = choose_many(chooser, two_domains(), 10'000);
     CHECK(counts.at("near-2") == 300);
 }
+
+// A domain that is taken back: the penalty of its hosts used to last until they were used, which never
+// happened while another host had little load.
+TEST_CASE(
+    "a host that is used again after a pause gets its share within seconds, whatever load the others have") {
+    target_chooser chooser;
+    for (std::string const host : {"near-1", "near-2"}) {
+        chooser.record_sent(host, {0});
+        chooser.record_answer(host, {1}, false, false, {1});
+    }
+    chooser.restart_use("near-1", {10'000});
+    CHECK(choose_many(chooser, two_domains(), 10'100)["near-1"] == 0);
+    auto counts = choose_many(chooser, two_domains(), 15'000);
+    CHECK(counts["near-1"] > 100);
+    CHECK(counts["near-2"] > 100);
+}
--- a/tests/standins/target_standin.cpp
+++ b/tests/standins/target_standin.cpp
@@ -4,6 +4,7 @@
 #include "http/header_rules.hpp"
 #include "http/http_dialect.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <cmath>
 
@@ -85,11 +86,52 @@
     }
 }
 
-void target_standin::crash() {
+void target_standin::record_arrival() {
+    auto const now = monotonic_clock::now();
+    std::lock_guard const guard(this->mutex);
+    if (now < this->cold_until) {
+        this->cold_arrivals.push_back(now);
+    }
+}
+
+std::size_t target_standin::most_in_a_cold_second() const {
+    constexpr duration span{1000};
+    std::lock_guard const guard(this->mutex);
+    std::size_t most = 0;
+    for (auto first = this->cold_arrivals.begin(); first != this->cold_arrivals.end(); ++first) {
+        auto const end = std::upper_bound(first, this->cold_arrivals.end(), *first + span);
+        most = std::max(most, static_cast<std::size_t>(end - first));
+    }
+    return most;
+}
+
+http_response target_standin::state_health() const {
+    auto response = make_response(200, "ok\n");
+    std::lock_guard const guard(this->mutex);
+    auto const left = this->cold_until - monotonic_clock::now();
+    if (left > duration{0}) {
+        response.set(http_dialect{}.target_cold, std::to_string(std::llround(left.milliseconds)));
+    }
+    return response;
+}
+
+void target_standin::become_cold(double cold_ms) {
+    std::lock_guard const guard(this->mutex);
+    this->cold_until = monotonic_clock::now() + duration{cold_ms};
+}
+
+void target_standin::restart(double down_ms, double cold_ms) {
+    asio::post(this->service.context(), [=, this] {
+        this->become_cold(down_ms + cold_ms);
+        this->crash(down_ms);
+    });
+}
+
+void target_standin::crash(double down_ms) {
     ++this->crashes;
     this->service.crash();
     auto const timer = std::make_shared<asio::steady_timer>(this->service.context());
-    timer->expires_after(to_duration(this->behaviour.restart_ms));
+    timer->expires_after(to_duration(down_ms));
     timer->async_wait([this, timer](boost::system::error_code) { this->service.resume(); });
 }
 
@@ -145,11 +187,15 @@
     if (target.starts_with("/control/runs")) {
         co_return make_response(200, std::to_string(this->run_total) + "\n");
     }
+    this->record_arrival();
+    if (target == health_path) {
+        co_return this->state_health();
+    }
     this->record_request(request);
     bool const crashes_target =
         query_has(target, "crash") || request.body().find("crash") != std::string::npos;
     if (crashes_target) {
-        this->crash();
+        this->crash(this->behaviour.restart_ms);
         // A crashed process does not answer.
         asio::steady_timer never(this->service.context(), std::chrono::hours(1));
         co_await never.async_wait(asio::use_awaitable);
--- a/tests/standins/target_standin.hpp
+++ b/tests/standins/target_standin.hpp
@@ -2,9 +2,10 @@
 ///
 /// The query of a request controls it: "work_ms=N" (mean service time), "crash=1" (resets all connections, as
 /// a crashing process does), "fail=1" (answers 502), "size=N" (bytes of the body), "hang=1" (holds a slot
-/// without answering).
+/// without answering). `health_path` states how long it is cold.
 #pragma once
 
+#include "base/clock.hpp"
 #include "standins/http_service.hpp"
 
 #include <atomic>
@@ -16,6 +17,8 @@
 
 namespace caraway::standins {
 
+inline constexpr auto health_path = "/health";
+
 /// A call that the target makes for each request.
 struct nested_call {
     std::string method;
@@ -46,6 +49,12 @@
     std::string received_headers() const;
     /// Multiplies the service time.
     void set_slowness(double factor) { this->slowness = factor; }
+    /// Ends like a crashed process, and is cold for `cold_ms` after it is back. Thread-safe.
+    void restart(double down_ms, double cold_ms);
+    /// Becomes cold without a restart.
+    void become_cold(double cold_ms);
+    /// The most requests, health checks included, that arrived in any second while it was cold.
+    std::size_t most_in_a_cold_second() const;
     int in_flight() const { return this->busy_slots; }
     int peak_in_flight() const { return this->peak_busy_slots; }
 
@@ -55,7 +64,9 @@
     void release_slot();
     asio::awaitable<bool> call_nested(http_request const& served_request, nested_call call);
     void record_request(http_request const& request);
-    void crash();
+    void record_arrival();
+    http_response state_health() const;
+    void crash(double down_ms);
 
     target_behaviour behaviour;
     std::atomic<double> slowness{1};
@@ -68,6 +79,8 @@
     mutable std::mutex mutex;
     std::map<std::string, int> run_counts;
     std::string headers;
+    time_point cold_until;
+    std::vector<time_point> cold_arrivals;
     std::uint64_t random_state;
     http_service service;
 };
