node: Do not report a request as not run whose earlier attempt was lost

Change: a call remembers that an attempt's outcome is not known, and a later refusal is then reported as unknown.

--- a/libraries/node/request_router.cpp
+++ b/libraries/node/request_router.cpp
@@ -651,6 +651,7 @@
     if (!this->try_acquire_retry(call, answer, now)) {
         return this->finish_call(call, std::move(answer), now);
     }
+    call.may_have_run = call.may_have_run || answer.result != outcome::not_run;
     this->context.node_metrics.increment_counter(answer.code == result_code::passed_on ? "passed_on"
                                                                                        : "retries");
     if (call.parsed_ticket && call.parent != 0) {
@@ -693,6 +694,7 @@
             this->finish_call(call, std::move(lost), now);
             continue;
         }
+        call.may_have_run = true;
         this->context.node_metrics.increment_counter("retries");
         call.stage = pending_call::call_stage::waiting_for_link;
         call.waiting_since = now;
@@ -801,6 +803,9 @@
 }
 
 void request_router::finish_call(pending_call& call, answer_message&& answer, time_point now) {
+    if (call.may_have_run && answer.result == outcome::not_run) {
+        answer.result = outcome::unknown; // Only the last attempt has not run.
+    }
     this->record_outcome(call, answer, now);
     this->context.node_metrics.count_answer(answer.result, answer.code);
     this->context.node_metrics.observe(latency_metric::request, now - call.arrived);
--- a/libraries/node/request_router.hpp
+++ b/libraries/node/request_router.hpp
@@ -49,6 +49,7 @@
     std::uint64_t call_id{0};          ///< Of the latest attempt; each attempt has its own.
     time_point sent;                   ///< When the latest attempt was sent.
     bool was_sent{false};              ///< An attempt was sent and may have reached its host.
+    bool may_have_run{false};          ///< The outcome of an earlier attempt is not known.
     bool was_refused_for_limit{false}; ///< A target of the service had no room for it within its limit.
     std::vector<std::string> refusing_domains; ///< Failure domains whose hosts refused it as evacuated.
     std::string passed_on_by;  ///< A host that had a longer queue than another; empty for none.
--- a/tests/node/cold_fleet_test.cpp
+++ b/tests/node/cold_fleet_test.cpp
@@ -198,3 +198,30 @@
         CHECK((answer.code != result_code::target_cold || answer.retry_after_ms > 0));
     }
 }
+
+// An attempt was lost with its host, and the next one was refused: only the latter has not run.
+TEST_CASE("a request that may have run is not reported as not run when its next attempt is refused") {
+    auto plan = one_service();
+    plan.configuration["services"]["front"]["cold_rate"] = {.value = 1.0};
+    plan.cold = {};
+    simulated_fleet fleet(plan);
+    steady_load load(fleet, 400);
+    load.run_for(duration{5000});
+    load.requests.clear();
+    auto const hosts = fleet.hosts();
+    for (std::size_t index = 1; index < hosts.size(); ++index) {
+        restart_target(fleet, hosts[index], 1'700'000'000'000, cold_span.milliseconds);
+    }
+    load.run_for(duration{600});
+    fleet.kill(hosts[0]);
+    fleet.run_for(duration{1000});
+    std::size_t refused = 0;
+    for (auto const& id : load.requests) {
+        if (!fleet.answers().contains(id) || fleet.answers().at(id).result != outcome::not_run) {
+            continue;
+        }
+        ++refused;
+        CHECK(std::ranges::find(fleet.runs(), id, &target_run::request_id) == fleet.runs().end());
+    }
+    CHECK(refused > 0);
+}
