node: Count the answers that one restart of a target loses as one crash

Change: a fingerprint is blamed once for answers lost within half a second; suspects, which run alone, are blamed as before.

--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -591,10 +591,10 @@
         this->load_estimate.reset();
     }
     if (answer.statement && answer.statement->load) {
-        auto const& load = *answer.statement->load;
-        this->load_estimate.record_stated({.present = load.running + load.waiting,
-                                           .slots = load.slots,
-                                           .work_time_percent = load.work_time_percent},
+        auto const& stated = *answer.statement->load;
+        this->load_estimate.record_stated({.present = stated.running + stated.waiting,
+                                           .slots = stated.slots,
+                                           .work_time_percent = stated.work_time_percent},
                                           this->running, now);
     }
     // A cancellation says something of the target only if the request ran for unusually long.
@@ -614,7 +614,13 @@
     // A running suspect is held responsible for the crash; other requests in flight with it are not.
     bool const suspect_is_involved =
         this->running_suspect != 0 || now - this->last_suspect_crash < same_crash_window;
-    if (work.is_suspect || !suspect_is_involved) {
+    if (now - this->crash_noticed >= same_crash_window) {
+        this->crash_noticed = now;
+        this->blamed_for_crash.clear();
+    }
+    // Identical requests that were under way together have crashed the target once.
+    bool const is_first = this->blamed_for_crash.insert(work.fingerprint).second;
+    if (work.is_suspect || (is_first && !suspect_is_involved)) {
         blamed.push_back(work.fingerprint);
     }
     if (work.is_suspect) {
--- a/libraries/node/executor.hpp
+++ b/libraries/node/executor.hpp
@@ -176,6 +176,8 @@
     std::uint64_t running_suspect{0};           ///< 0 when none runs.
     std::deque<std::uint64_t> waiting_suspects; ///< Only one suspect runs at a time.
     time_point last_suspect_crash;
+    time_point crash_noticed;                 ///< The first answer that the latest crash lost.
+    std::set<std::uint64_t> blamed_for_crash; ///< Fingerprints.
     int slots{1};
     int listed_slots{0};
 };
--- a/tests/system/faults_test.cpp
+++ b/tests/system/faults_test.cpp
@@ -334,3 +334,25 @@
         CHECK((count == 1 || number.size() != 32));
     }
 }
+
+// Each lost answer used to count as a crash of its own, so that one restart put the request under quarantine.
+TEST_CASE("identical requests that were under way when a target restarted run again") {
+    fleet system({.configuration = base_configuration(),
+                  .hosts = {make_host("a-1", "a", "front", 8), make_host("b-1", "b", "front", 8)}});
+    REQUIRE(system.wait_ready());
+    auto& target = *system.node(0).target;
+    auto const before = target.run_count();
+    std::vector<std::thread> callers;
+    for (int index = 0; index < 6; ++index) {
+        callers.emplace_back([&system] { system.call(0, "GET", "/front?work_ms=600", with_key()); });
+    }
+    REQUIRE(wait_until([&] { return target.run_count() >= before + 3; }, std::chrono::seconds(5)));
+    target.restart(1500, 0);
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    for (int index = 0; index < 3; ++index) {
+        CHECK(system.call(1, "GET", "/front?work_ms=600", with_key()).outcome() == "ran");
+    }
+}
