--- a/libraries/node/host_list.hpp
+++ b/libraries/node/host_list.hpp
@@ -17,9 +17,7 @@
     std::string instance;        ///< Identifies this incarnation of the target; empty when not listed.
     std::uint64_t started_ms{0}; ///< When the target started, in Unix milliseconds; 0 when not listed.
     int slots{0};                ///< Requests that the target runs concurrently; 0 when not listed.
-    /// Remaining warm-up time of the target when the entry was written.
-    /// FIXME: A target that is still warming up should get less work than target_chooser gives to any host
-    ///        that it has just begun to use.
+    /// How much longer the target was cold when the entry was written; `cold_state` uses it.
     double warm_up_ms{0};
     /// The platform no longer lists the host, but its entry may merely have expired while the platform was
     /// unreachable. A node whose current list contains the host with the same instance keeps it; other nodes
