--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -343,6 +343,15 @@
     this->local_target.record_sent(work.request.depth > 0 || work.request.is_nested_call, now);
     this->context.node_metrics.observe(latency_metric::queue, now - work.arrived);
     auto const left = work.deadline - now;
+    if (left <= duration{0}) {
+        this->context.node_metrics.increment_counter("requests_started_late");
+        this->context.pending_effects.log(
+            log_level::warn, "request_started_late",
+            {{"request_id", work.request.request_id},
+             {"left_ms", std::to_string(std::llround(left.milliseconds))},
+             {"waited_ms", std::to_string(std::llround((now - work.arrived).milliseconds))},
+             {"suspect", work.is_suspect ? "true" : "false"}});
+    }
     target_request request{.id = work.id,
                            .method = work.request.method,
                            .authority = work.request.authority,
