--- a/tests/standins/registry_standin.cpp
+++ b/tests/standins/registry_standin.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr auto poll_interval = std::chrono::milliseconds(5);
+constexpr auto slow_delay = std::chrono::milliseconds(200);
 /// Small, so that even a few targets need several pages.
 constexpr int page_items = 2;
 
@@ -149,6 +150,10 @@
         timer.expires_after(std::chrono::hours(1));
         co_await timer.async_wait(asio::use_awaitable);
     }
+    if (this->fault == registry_fault::slow) {
+        timer.expires_after(slow_delay);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
     if (this->fault == registry_fault::down) {
         co_return make_response(503, "{}");
     }
@@ -167,7 +172,8 @@
         if (auto found = this->changes_after(prefix, after)) {
             co_return std::move(*found);
         }
-        if (std::chrono::steady_clock::now() >= until || this->fault != registry_fault::none) {
+        if (std::chrono::steady_clock::now() >= until || this->fault == registry_fault::down ||
+            this->fault == registry_fault::silent) {
             co_return make_json({{"events", QJsonArray{}}, {"store-revision", to_qint64(after)}});
         }
         timer.expires_after(poll_interval);
--- a/tests/standins/registry_standin.hpp
+++ b/tests/standins/registry_standin.hpp
@@ -15,8 +15,8 @@
 
 namespace caraway::standins {
 
-/// `down` answers every request with 503; `silent` answers none.
-enum class registry_fault : std::uint8_t { none, down, silent };
+/// `down` answers every request with 503; `silent` answers none; `slow` answers each 200 ms late.
+enum class registry_fault : std::uint8_t { none, down, silent, slow };
 
 class registry_standin {
 public:
