node, http: Add failing tests of requests that are handed to a target without time left

Requests that wait behind a suspect are started one after the other without a look at the time left, and a time left of zero or less is written as no limit; the target client writes the time that was left before the request waited for a connection.

--- a/tests/http/target_client_test.cpp
+++ b/tests/http/target_client_test.cpp
@@ -8,6 +8,8 @@
 
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
+#include <mutex>
 #include <thread>
 #include <unistd.h>
 
@@ -139,3 +141,65 @@
     CHECK(replaced.code == result_code::target_replaced);
     CHECK_FALSE(replaced.statement);
 }
+
+namespace {
+
+/// Sends five requests at once to a target that takes 300 ms for each; the last one waits for a connection
+/// of the others. Returns what the target was told to be left of its time, or -1 when it never arrived.
+double time_told_after_wait(double time_left_ms, target_answer& last_answer) {
+    constexpr std::uint64_t last = 5;
+    auto const port = next_port();
+    std::atomic<double> told{-1};
+    standins::http_service target(
+        "127.0.0.1", port, [&](standins::http_request request) -> asio::awaitable<standins::http_response> {
+            if (request["Request-Id"] == "last") {
+                told = std::stod("0" + std::string(request["Time-Left"]));
+            }
+            asio::steady_timer timer(co_await asio::this_coro::executor, std::chrono::milliseconds(300));
+            co_await timer.async_wait(asio::use_awaitable);
+            co_return standins::make_response(200, "");
+        });
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::size_t answers = 0;
+    target_client client({.address = "127.0.0.1",
+                          .port = port,
+                          .max_connection_wait = duration{2000},
+                          .dialect = {.request_id = "Request-Id", .deadline = "Time-Left"}},
+                         [&](target_answer&& answer) {
+                             std::lock_guard const guard(mutex);
+                             last_answer = answer.id == last ? answer : last_answer;
+                             ++answers;
+                             changed.notify_all();
+                         });
+    client.start();
+    for (std::uint64_t id = 1; id <= last; ++id) {
+        double const left = id == last ? time_left_ms : 5000;
+        REQUIRE(client.send({.id = id,
+                             .method = "GET",
+                             .path = "/",
+                             .timeout_ms = left,
+                             .deadline_ms = left,
+                             .request_id = id == last ? "last" : "first"}));
+    }
+    std::unique_lock lock(mutex);
+    REQUIRE(changed.wait_for(lock, std::chrono::seconds(10), [&] { return answers == last; }));
+    return told;
+}
+
+} // namespace
+
+// The time left was worked out before the wait for a connection and written after it.
+TEST_CASE("the time that a request waits for a connection is taken off what the target is told") {
+    target_answer answer;
+    double const told = time_told_after_wait(1000, answer);
+    CHECK(told > 0);
+    CHECK(told <= 750);
+}
+
+TEST_CASE("a request whose time is used up while it waits for a connection has not run") {
+    target_answer answer;
+    CHECK(time_told_after_wait(100, answer) == -1);
+    CHECK(answer.result == outcome::not_run);
+    CHECK(answer.code == result_code::deadline_passed);
+}
--- a/tests/node/simulated_fleet.cpp
+++ b/tests/node/simulated_fleet.cpp
@@ -49,6 +49,7 @@
     std::optional<time_point> stops_at;
     std::uint64_t incarnation{0};
     bool serving{false};
+    bool crashes_next_run{false};
 };
 
 struct simulated_fleet::delivery {
@@ -160,6 +161,10 @@
     this->nodes.at(host)->service.service_time = span;
 }
 
+void simulated_fleet::crash_next_run(std::string const& host) {
+    this->nodes.at(host)->crashes_next_run = true;
+}
+
 void simulated_fleet::publish_configuration(item_set const& items) {
     this->configuration = make_bundle_or_throw(items, ++this->revision);
     for (auto& [host, entry] : this->nodes) {
@@ -309,7 +314,7 @@
 void simulated_fleet::run_at_target(node& entry, target_request&& request) {
     auto const index = this->target_runs.size();
     this->target_runs.push_back(
-        {entry.options.host, request.request_id, request.path, this->clock, std::nullopt});
+        {entry.options.host, request.request_id, request.path, this->clock, std::nullopt, duration{request.deadline_ms}});
     entry.running[request.id] = index;
     this->peak_over_slots =
         std::max(this->peak_over_slots, static_cast<int>(entry.running.size()) - entry.service.slots);
@@ -350,6 +355,9 @@
     target_answer answer{.id = id};
     if (cancelled) {
         answer.code = result_code::cancelled;
+    } else if (std::exchange(entry.crashes_next_run, false)) {
+        answer.code = result_code::target_crashed;
+        answer.refuses_connections = true;
     } else if (is_lost) {
         answer.code = result_code::target_crashed;
     } else {
--- a/tests/node/simulated_fleet.hpp
+++ b/tests/node/simulated_fleet.hpp
@@ -62,6 +62,7 @@
     std::string path;
     time_point started;
     std::optional<time_point> ended;
+    duration time_left; ///< What the target was told; 0 for no limit.
 };
 
 class simulated_fleet {
@@ -101,6 +102,8 @@
     void set_target_cold(std::string const& host, duration span);
     /// Sets the time of each later run at the host's target.
     void set_service_time(std::string const& host, duration span);
+    /// The next run at the host's target ends without an answer, and the target refuses connections then.
+    void crash_next_run(std::string const& host);
     /// Serves a new host list to every live host that is not partitioned.
     void publish_hosts(std::vector<listed_host> hosts);
     /// The same with these evacuated failure domains in place of the former ones.
