--- a/libraries/platform/document_source.cpp
+++ b/libraries/platform/document_source.cpp
@@ -9,13 +9,13 @@
 namespace {
 
 constexpr int watch_wait_ms = 10'000;
-constexpr int transfer_timeout_ms = 15'000;
+constexpr duration transfer_timeout{15'000};
 constexpr int retry_pause_ms = 500;
 
 } // namespace
 
 document_source::document_source(std::string base_url, platform_callbacks handlers)
-    : callbacks(std::move(handlers)), client(std::move(base_url), transfer_timeout_ms) {
+    : callbacks(std::move(handlers)), client(std::move(base_url)) {
     this->retry_timer.setSingleShot(true);
     QObject::connect(&this->retry_timer, &QTimer::timeout, &this->retry_timer, [this] {
         this->start_watch(this->manifest_watch);
@@ -46,6 +46,7 @@
     current.request_pending = true;
     this->client.get("/v1/watch/" + current.name + "?after=" + current.known_revision +
                          "&wait_ms=" + std::to_string(watch_wait_ms),
+                     transfer_timeout,
                      [this, &current](QNetworkReply& reply) { this->on_watched(current, reply); });
 }
 
@@ -105,7 +106,7 @@
         return this->callbacks.on_configuration(bundle(this->current_bundle));
     }
     auto const name = this->missing_values.back();
-    this->client.get("/v1/values/" + name, [this, name](QNetworkReply& reply) {
+    this->client.get("/v1/values/" + name, transfer_timeout, [this, name](QNetworkReply& reply) {
         bool const expected =
             this->incoming_bundle && !this->missing_values.empty() && this->missing_values.back() == name;
         if (!expected) {
--- a/libraries/platform/platform_client.cpp
+++ b/libraries/platform/platform_client.cpp
@@ -12,13 +12,14 @@
 
 } // namespace
 
-platform_client::platform_client(std::string base_url, int timeout_ms) : url(std::move(base_url)) {
-    this->network.setTransferTimeout(timeout_ms);
-}
+platform_client::platform_client(std::string base_url) : url(std::move(base_url)) {}
 
-void platform_client::get(std::string const& path, std::function<void(QNetworkReply&)> handler) {
+void platform_client::get(std::string const& path, duration timeout,
+                          std::function<void(QNetworkReply&)> handler) {
     ++this->calls;
-    auto* reply = this->network.get(QNetworkRequest(QUrl(QString::fromStdString(this->url + path))));
+    QNetworkRequest request(QUrl(QString::fromStdString(this->url + path)));
+    request.setTransferTimeout(static_cast<int>(timeout.milliseconds));
+    auto* reply = this->network.get(request);
     QObject::connect(reply, &QNetworkReply::downloadProgress, reply, [reply](qint64 received, qint64) {
         if (received > max_reply_bytes) {
             reply->abort();
--- a/libraries/platform/platform_client.hpp
+++ b/libraries/platform/platform_client.hpp
@@ -2,6 +2,8 @@
 /// resend a request by itself. Runs on the thread of the Qt event loop.
 #pragma once
 
+#include "base/clock.hpp"
+
 #include <QNetworkAccessManager>
 
 #include <cstdint>
@@ -14,11 +16,12 @@
 
 class platform_client {
 public:
-    /// `base_url` is prepended to every path. A request without any progress for `timeout_ms` fails.
-    platform_client(std::string base_url, int timeout_ms);
+    /// `base_url` is prepended to every path.
+    explicit platform_client(std::string base_url);
 
-    /// The handler gets the finished reply, whether it succeeded or failed.
-    void get(std::string const& path, std::function<void(QNetworkReply&)> handler);
+    /// The handler gets the finished reply, whether it succeeded or failed. The request fails when it makes
+    /// no progress for `timeout`, which Qt's timer may exceed by a twentieth.
+    void get(std::string const& path, duration timeout, std::function<void(QNetworkReply&)> handler);
 
     /// Requests sent so far; a watch that waits at the platform is one request.
     std::uint64_t call_count() const { return this->calls; }
--- a/tests/node/simulated_fleet.cpp
+++ b/tests/node/simulated_fleet.cpp
@@ -313,8 +313,8 @@
 
 void simulated_fleet::run_at_target(node& entry, target_request&& request) {
     auto const index = this->target_runs.size();
-    this->target_runs.push_back(
-        {entry.options.host, request.request_id, request.path, this->clock, std::nullopt, duration{request.deadline_ms}});
+    this->target_runs.push_back({entry.options.host, request.request_id, request.path, this->clock,
+                                 std::nullopt, duration{request.deadline_ms}});
     entry.running[request.id] = index;
     this->peak_over_slots =
         std::max(this->peak_over_slots, static_cast<int>(entry.running.size()) - entry.service.slots);
