node, http: Refuse a request as not run when its time is used up before it is written

Cause: a start did not ask for the time left. Requests like one that had crashed a target waited one behind the other until the deadline that they had in common; when it ended the first, the next ones were started past their own. A time left of zero or less was written as no limit. The target client had the time left worked out before it waited for a connection, and wrote it afterwards. Ruled out: a deadline that moves (entry host and target's host agree on it to the millisecond). Change: executor::start is the one place that decides, for every way to a start: a request past its latest start is refused as not run, with code queue_timeout. The latest start leaves a tenth of the time that the request had, 20 ms at most, so that the refusal reaches its caller in time; an entry host sends nothing on after it. The target client gets the deadline instead of the time left, works the time left out when it writes, and does not write a request without any. target_request can no longer say "no limit". request_started_late, which can't come any more, became the counter requests_too_late_to_start. dialect_test compared the written limit with one text; the limit is now what is left at the write, so it checks whole milliseconds and bounds.

--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -30,7 +30,9 @@
 constexpr double idempotent_reuse_fraction = 0.8;
 constexpr double non_idempotent_reuse_fraction = 0.5;
 /// The target is on this host; if a connect takes longer, the target accepts no connections.
-constexpr double connect_timeout_ms = 1000;
+constexpr duration connect_timeout{1000};
+/// Deadlines are told to the target in whole milliseconds.
+constexpr duration shortest_time_left{1};
 /// Answers to earlier requests that are skipped before the connection is given up.
 constexpr int max_stray_answers = 4;
 constexpr std::size_t max_idle_connections = 4096;
@@ -64,6 +66,9 @@
         : client(owner), request(std::move(new_request)), wait_timer(owner.context) {}
 
     void start() {
+        if (!this->has_time_left()) {
+            return this->finish_too_late();
+        }
         if (this->try_reuse()) {
             return;
         }
@@ -83,16 +88,21 @@
         });
     }
 
-    /// Starts a call that waits if there is an idle connection. False when it still waits.
+    /// Starts a call that waits if there is an idle connection, or ends it if its time is used up. False when
+    /// it still waits.
     bool resume() {
         if (!this->is_waiting) {
             return true;
         }
-        if (!this->try_reuse()) {
+        bool const is_too_late = !this->has_time_left();
+        if (!is_too_late && !this->try_reuse()) {
             return false;
         }
         this->is_waiting = false;
         this->wait_timer.cancel();
+        if (is_too_late) {
+            this->finish_too_late();
+        }
         return true;
     }
 
@@ -113,14 +123,17 @@
         if (this->connection == nullptr) {
             return false;
         }
-        this->set_timeout(this->request.timeout_ms);
+        this->set_timeout(this->answer_time_left());
         this->write();
         return true;
     }
 
     void connect() {
+        if (!this->has_time_left()) {
+            return this->finish_too_late();
+        }
         this->connection = std::make_unique<target_connection>(this->client.context);
-        this->set_timeout(std::min(this->request.timeout_ms, connect_timeout_ms));
+        this->set_timeout(std::min(this->answer_time_left(), connect_timeout));
         this->connection->stream.async_connect(
             this->client.target_endpoint(),
             [self = this->shared_from_this()](boost::system::error_code error) {
@@ -131,14 +144,27 @@
                 }
                 boost::system::error_code ignored;
                 self->connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-                self->set_timeout(self->request.timeout_ms);
+                if (!self->has_time_left()) {
+                    self->client.keep_for_reuse(std::move(self->connection));
+                    return self->finish_too_late();
+                }
+                self->set_timeout(self->answer_time_left());
                 self->write();
             });
     }
 
-    void set_timeout(double limit_ms) {
-        auto const limit = std::chrono::microseconds(static_cast<std::int64_t>(limit_ms * 1000));
-        this->connection->stream.expires_after(limit);
+    /// Whether the target can still be told a time limit.
+    bool has_time_left() const { return this->time_left() >= shortest_time_left; }
+
+    duration time_left() const { return this->request.deadline - monotonic_clock::now(); }
+
+    duration answer_time_left() const { return this->time_left() + this->request.answer_grace; }
+
+    void finish_too_late() { this->finish(outcome::not_run, result_code::deadline_passed); }
+
+    void set_timeout(duration limit) {
+        this->connection->stream.expires_after(
+            std::chrono::microseconds(static_cast<std::int64_t>(limit.milliseconds * 1000)));
     }
 
     void set_dialect_headers(http::request<http::string_body>& message) const {
@@ -152,10 +178,8 @@
             }
         };
         set(dialect.request_id, this->request.request_id);
-        if (this->request.deadline_ms > 0) {
-            set(dialect.deadline,
-                std::to_string(std::max<long long>(1, std::llround(std::floor(this->request.deadline_ms)))));
-        }
+        auto const left = std::max(this->time_left(), shortest_time_left);
+        set(dialect.deadline, std::to_string(std::llround(std::floor(left.milliseconds))));
         set(dialect.organisation, this->request.organisation);
         set(dialect.calling_service, this->request.calling_service);
         set(dialect.instance, this->request.instance);
@@ -235,7 +259,7 @@
     /// connection is kept for the next request.
     void probe_target() {
         this->connection = std::make_unique<target_connection>(this->client.context);
-        this->set_timeout(connect_timeout_ms);
+        this->set_timeout(connect_timeout);
         this->connection->stream.async_connect(
             this->client.target_endpoint(),
             [self = this->shared_from_this()](boost::system::error_code error) {
--- a/libraries/http/target_client.hpp
+++ b/libraries/http/target_client.hpp
@@ -32,8 +32,10 @@
     std::string path;
     header_list headers;
     std::string body;
-    double timeout_ms{0};  ///< The connection is closed if no answer arrives in this time.
-    double deadline_ms{0}; ///< Remaining time, sent to the target.
+    /// The target is told the time that is left until then when the request is written; from then on it is
+    /// not written.
+    time_point deadline;
+    duration answer_grace{0}; ///< The connection is closed if no answer arrives so long after the deadline.
     std::string request_id;
     std::string context_token; ///< The target sends it along with its own calls.
     std::string traceparent;
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -1,6 +1,7 @@
 #include "node/executor.hpp"
 
 #include "base/digest.hpp"
+#include "policy/latest_start.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -32,7 +33,7 @@
 constexpr double permille = 1000;
 /// The target's timeout exceeds the caller's deadline by this much, so that the deadline always ends a
 /// request first.
-constexpr double target_grace_ms = 50;
+constexpr duration target_grace{50};
 
 /// The time left that a target states on a call is that of the request it is serving. Transmission time and
 /// the clocks on both sides change it by less than this.
@@ -326,7 +327,16 @@
     }
 }
 
+bool executor::is_too_late(execution const& work, time_point now) {
+    return now >= latest_start(work.arrived, work.deadline);
+}
+
 void executor::start(execution& work, time_point now) {
+    if (is_too_late(work, now)) {
+        this->context.node_metrics.increment_counter("requests_too_late_to_start");
+        return this->refuse(work.id, result_code::queue_timeout, now);
+    }
+    this->running_suspect = work.is_suspect ? work.id : this->running_suspect;
     work.stage = execution::state::running;
     work.started = now;
     work.started_wall_nanoseconds = wall_clock_nanoseconds();
@@ -342,24 +352,14 @@
     }
     this->local_target.record_sent(work.request.depth > 0 || work.request.is_nested_call, now);
     this->context.node_metrics.observe(latency_metric::queue, now - work.arrived);
-    auto const left = work.deadline - now;
-    if (left <= duration{0}) {
-        this->context.node_metrics.increment_counter("requests_started_late");
-        this->context.pending_effects.log(
-            log_level::warn, "request_started_late",
-            {{"request_id", work.request.request_id},
-             {"left_ms", std::to_string(std::llround(left.milliseconds))},
-             {"waited_ms", std::to_string(std::llround((now - work.arrived).milliseconds))},
-             {"suspect", work.is_suspect ? "true" : "false"}});
-    }
     target_request request{.id = work.id,
                            .method = work.request.method,
                            .authority = work.request.authority,
                            .path = work.request.path,
                            .headers = work.request.headers,
                            .body = std::move(work.request.body),
-                           .timeout_ms = left.milliseconds + target_grace_ms,
-                           .deadline_ms = left.milliseconds,
+                           .deadline = work.deadline,
+                           .answer_grace = target_grace,
                            .request_id = work.request.request_id,
                            .context_token = work.context_token,
                            .traceparent = trace_context{work.request.trace_id, work.span_id}.to_header(),
@@ -387,7 +387,6 @@
             this->refuse(next->id, result_code::quarantined, now);
             continue;
         }
-        this->running_suspect = next->id;
         this->start(*next, now);
     }
 }
@@ -547,6 +546,9 @@
     if (answer.code == result_code::cancelled && now >= work->deadline) {
         answer.code = result_code::deadline_passed;
     }
+    if (answer.result == outcome::not_run && answer.code == result_code::deadline_passed) {
+        answer.code = result_code::queue_timeout; // It waited for a connection until its time was used up.
+    }
     if (answer.code == result_code::target_crashed && answer.refuses_connections) {
         this->record_target_crash(answer.id, now);
     } else if (answer.code == result_code::target_crashed) {
@@ -610,7 +612,8 @@
     bool const is_overdue =
         now >= deadline && held_time > this->load_estimate.request_time(now) * overdue_factor;
     bool const is_cancelled = answer.code == result_code::cancelled && !is_overdue;
-    if (is_cancelled || answer.code == result_code::target_replaced) {
+    bool const is_unsent = answer.result == outcome::not_run && answer.code == result_code::deadline_passed;
+    if (is_cancelled || is_unsent || answer.code == result_code::target_replaced) {
         return;
     }
     bool const has_failed = answer.result != outcome::ran || answer.status >= first_server_error_status;
@@ -734,7 +737,7 @@
     std::vector<std::uint64_t> overdue;
     std::vector<std::uint64_t> stale_suspects;
     for (auto const& [id, work] : this->executions) {
-        if (work.is_suspect && work.stage == execution::state::queued && now >= work.deadline) {
+        if (work.is_suspect && work.stage == execution::state::queued && is_too_late(work, now)) {
             stale_suspects.push_back(id);
         }
         bool const is_cancellable = work.stage == execution::state::running && work.is_idempotent();
--- a/libraries/node/executor.hpp
+++ b/libraries/node/executor.hpp
@@ -125,6 +125,9 @@
     /// False when the request has been answered or waits for the run of another copy.
     bool claim_ticket(execution& work, time_point now);
     void admit(execution&& work, time_point now);
+    /// Whether too little of the request's time is left to start it.
+    static bool is_too_late(execution const& work, time_point now);
+    /// Sends the request to the target, or refuses it when it is too late.
     void start(execution& work, time_point now);
     void start_queued(time_point now);
     /// Fits the queue to the slots of the target and to the pace at which it accepts requests.
--- a/libraries/node/own_target.cpp
+++ b/libraries/node/own_target.cpp
@@ -31,7 +31,7 @@
 /// A target that nobody has asked for in this span is not checked.
 constexpr duration demand_span{500};
 constexpr std::uint64_t check_id_flag = std::uint64_t{1} << 63U;
-constexpr double check_timeout_ms = 1000;
+constexpr duration check_timeout{1000};
 /// A target that is taken as cold without having said so is asked only when its pace is about to delay
 /// requests: health checks take a slot of the target.
 constexpr double tokens_without_check = 2;
@@ -313,7 +313,7 @@
     this->context.pending_effects.target_requests.push_back({.id = this->check_id,
                                                              .method = "GET",
                                                              .path = this->health_path,
-                                                             .timeout_ms = check_timeout_ms,
+                                                             .deadline = now + check_timeout,
                                                              .instance = this->check_instance,
                                                              .is_health_check = true});
 }
--- a/libraries/node/request_router.cpp
+++ b/libraries/node/request_router.cpp
@@ -1,6 +1,7 @@
 #include "node/request_router.hpp"
 
 #include "base/digest.hpp"
+#include "policy/latest_start.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -587,7 +588,7 @@
 bool request_router::try_acquire_retry(pending_call& call, answer_message const& answer, time_point now) {
     bool const is_root_ticket = call.needs_ticket && call.parent == 0;
     // The caller may send its ticket again; a retry elsewhere under a new ticket could then run it twice.
-    if (is_root_ticket || call.caller_disconnected) {
+    if (is_root_ticket || call.caller_disconnected || now >= latest_start(call.arrived, call.deadline)) {
         return false;
     }
     bool const refused_elsewhere =
--- a/tests/http/dialect_test.cpp
+++ b/tests/http/dialect_test.cpp
@@ -91,8 +91,8 @@
                            .authority = "shop.example",
                            .path = "/a",
                            .headers = {{"Extra", "kept"}},
-                           .timeout_ms = 3000,
-                           .deadline_ms = 1234.7,
+                           .deadline = monotonic_clock::now() + duration{1234.7},
+                           .answer_grace = duration{2000},
                            .request_id = std::move(request_id),
                            .context_token = "token",
                            .organisation = "org",
@@ -149,12 +149,19 @@
     auto const answer = client.ask("r1");
     CHECK(answer.result == outcome::ran);
     CHECK(answer.body == "whole");
-    for (auto const* expected : {"Host: shop.example\r\n", "Id: r1\r\n", "Time: 1234\r\n", "Owner: org\r\n",
-                                 "From: front\r\n", "Wanted: i-1\r\n", "Extra: kept\r\n"}) {
+    for (auto const* expected : {"Host: shop.example\r\n", "Id: r1\r\n", "Owner: org\r\n", "From: front\r\n",
+                                 "Wanted: i-1\r\n", "Extra: kept\r\n"}) {
         INFO(expected);
         CHECK(target.last_head.find(expected) != std::string::npos);
     }
     CHECK(target.last_head.find("token") == std::string::npos);
+    // What is left when the request is written, in whole milliseconds.
+    auto const field = target.last_head.find("Time: ");
+    REQUIRE(field != std::string::npos);
+    auto const value = target.last_head.substr(field + 6, target.last_head.find("\r\n", field) - field - 6);
+    CHECK(value.find_first_not_of("0123456789") == std::string::npos);
+    CHECK(std::stoi(value) <= 1234);
+    CHECK(std::stoi(value) > 234);
 }
 
 TEST_CASE("a request counts as not run only if the target states it or another instance answers") {
--- a/tests/http/target_client_test.cpp
+++ b/tests/http/target_client_test.cpp
@@ -60,7 +60,10 @@
 public:
     using sequential_client::sequential_client;
     target_answer ask(std::string method, double timeout_ms = 5000, bool cancelled = false) {
-        return this->send({.method = std::move(method), .path = "/", .body = "pay", .timeout_ms = timeout_ms},
+        return this->send({.method = std::move(method),
+                           .path = "/",
+                           .body = "pay",
+                           .deadline = monotonic_clock::now() + duration{timeout_ms}},
                           cancelled);
     }
 };
@@ -125,8 +128,11 @@
                                     .target_cold = "Cold",
                                     .answering_instance = "Instance",
                                     .checks_request_id = true});
-    target_request const check{
-        .method = "GET", .path = "/health", .timeout_ms = 1000, .instance = "i-1", .is_health_check = true};
+    target_request const check{.method = "GET",
+                               .path = "/health",
+                               .deadline = monotonic_clock::now() + duration{5000},
+                               .instance = "i-1",
+                               .is_health_check = true};
     auto const cold = client.send(check);
     CHECK(cold.code == result_code::ok);
     REQUIRE(cold.statement);
@@ -178,8 +184,7 @@
         REQUIRE(client.send({.id = id,
                              .method = "GET",
                              .path = "/",
-                             .timeout_ms = left,
-                             .deadline_ms = left,
+                             .deadline = monotonic_clock::now() + duration{left},
                              .request_id = id == last ? "last" : "first"}));
     }
     std::unique_lock lock(mutex);
--- a/tests/node/simulated_fleet.cpp
+++ b/tests/node/simulated_fleet.cpp
@@ -314,7 +314,7 @@
 void simulated_fleet::run_at_target(node& entry, target_request&& request) {
     auto const index = this->target_runs.size();
     this->target_runs.push_back({entry.options.host, request.request_id, request.path, this->clock,
-                                 std::nullopt, duration{request.deadline_ms}});
+                                 std::nullopt, request.deadline - this->clock});
     entry.running[request.id] = index;
     this->peak_over_slots =
         std::max(this->peak_over_slots, static_cast<int>(entry.running.size()) - entry.service.slots);
@@ -329,7 +329,7 @@
                              .path = "/" + entry.service.calls + "/read",
                              .context_token = request.context_token,
                              .request_id = std::string(egress_prefix) + request.request_id,
-                             .timeout_ms = request.deadline_ms});
+                             .timeout_ms = (request.deadline - this->clock).milliseconds});
         this->pending_deliveries.emplace((this->clock + step_duration).milliseconds,
                                          delivery{host, entry.incarnation, [this, shared](node& at) {
                                                       this->handle_event(at, listener_request(*shared));
