--- a/libraries/node/host_list.cpp
+++ b/libraries/node/host_list.cpp
@@ -8,6 +8,7 @@
 #include <QJsonObject>
 
 #include <algorithm>
+#include <cmath>
 #include <string_view>
 #include <unordered_map>
 
@@ -16,7 +17,8 @@
 namespace {
 
 constexpr std::size_t bucket_count = 64;
-constexpr std::size_t max_host_name_length = 200;
+/// Doubles hold every whole number up to it.
+constexpr double max_whole_number = 9'007'199'254'740'992;
 constexpr std::size_t max_evacuated_domains = 1000;
 constexpr auto domains_value = "domains";
 
@@ -55,14 +57,16 @@
                       .link = object.value("link").toString().toStdString(),
                       .leaving = object.value("state").toString() == "leaving",
                       .instance = object.value("instance").toString().toStdString(),
-                      .started_ms =
-                          static_cast<std::uint64_t>(std::max(0.0, object.value("started_ms").toDouble())),
+                      .started_ms = whole_number(object.value("started_ms")).value_or(0),
                       .slots = std::max(0, object.value("slots").toInt()),
-                      .warm_up_ms = std::max(0.0, object.value("warm_up_ms").toDouble()),
+                      .warm_up_ms =
+                          std::clamp(object.value("warm_up_ms").toDouble(), 0.0, max_listed_cold_ms),
                       .unconfirmed = object.value("unconfirmed").toBool()};
     BOOST_LEAF_CHECK(parse_endpoint(entry.link));
-    bool const named = !entry.host.empty() && entry.host.size() <= max_host_name_length &&
-                       !entry.failure_domain.empty() && !entry.service.empty();
+    auto const is_name = [](std::string const& text) {
+        return !text.empty() && text.size() <= max_listed_name;
+    };
+    bool const named = is_name(entry.host) && is_name(entry.failure_domain) && is_name(entry.service);
     if (!named) {
         return fail({result_code::configuration_missing,
                      "A listed host has no valid name, no failure domain or no service."});
@@ -94,7 +98,7 @@
                                 .since = object.value("since").toString().toULongLong()};
         bool const is_known =
             std::ranges::find(domains, domain.name, &evacuated_domain::name) != domains.end();
-        bool const is_valid = !domain.name.empty() && domain.name.size() <= max_host_name_length &&
+        bool const is_valid = !domain.name.empty() && domain.name.size() <= max_listed_name &&
                               domains.size() < max_evacuated_domains;
         if (!is_valid) {
             return fail({result_code::configuration_missing,
@@ -113,6 +117,15 @@
 
 } // namespace
 
+std::optional<std::uint64_t> whole_number(QJsonValue const& value) {
+    if (value.isUndefined() || value.isNull()) {
+        return 0;
+    }
+    double const number = value.toDouble(-1);
+    bool const is_whole = number >= 0 && number <= max_whole_number && number == std::floor(number);
+    return is_whole ? std::optional(static_cast<std::uint64_t>(number)) : std::nullopt;
+}
+
 result<host_list> parse_host_list(std::string const& json) {
     auto const object = QJsonDocument::fromJson(QByteArray::fromStdString(json)).object();
     bool valid = false;
--- a/libraries/node/host_list.hpp
+++ b/libraries/node/host_list.hpp
@@ -3,11 +3,20 @@
 
 #include "config/bundle.hpp"
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
+class QJsonValue;
+
 namespace caraway {
 
+/// Names of hosts, failure domains and services in a list are not longer; in bytes.
+constexpr std::size_t max_listed_name = 200;
+/// A target is listed as cold for no longer.
+constexpr double max_listed_cold_ms = 600'000;
+
 struct listed_host {
     std::string host;
     std::string failure_domain;
@@ -41,6 +50,10 @@
     std::vector<evacuated_domain> evacuated_domains;
 };
 
+/// The whole number that the value holds exactly; 0 for a missing one. Empty for any other value, also for a
+/// number that no JSON reader holds exactly.
+std::optional<std::uint64_t> whole_number(QJsonValue const& value);
+
 /// Reads the platform's JSON: {"revision":"N","hosts":[{"host":..,"failure_domain":..,"service":..,"link":..,
 /// "state":"live"|"leaving"}],"evacuated_domains":[{"name":..,"since":"N"}]}. Optional fields have the names
 /// of the members of `listed_host`; "evacuated_domains" and "since" may be left out.
