http: Do not take a target's repeated refusal for the answer to a later attempt

Cause: answers are matched by the request's id, but each attempt of a request carries the same one. When a target refuses a request and gets it again on the same connection, its refusal of before, written late, was taken for the answer to the new attempt. Beside it: a late answer that names another instance or none ended a health check, and its connection was kept with the check's own answer still to come. Change: a connection remembers which requests were refused on it, and takes none of them again; with over 64 it isn't reused. A health check whose answer isn't the wanted instance's does not keep its connection. What can't happen, shown by tests: a refusal that names another request or none is never taken (skipped, or unknown); an answer that ends anywhere within its head, for three kinds of framing and each length, is unknown and never whole.

--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -36,6 +36,8 @@
 /// Answers to earlier requests that are skipped before the connection is given up.
 constexpr int max_stray_answers = 4;
 constexpr std::size_t max_idle_connections = 4096;
+/// A connection with more refusals is not reused.
+constexpr std::size_t max_refused_ids = 64;
 /// With fewer calls in progress, a request opens a connection at once: none is likely to become free in time.
 constexpr std::size_t min_calls_to_wait = 4;
 
@@ -53,8 +55,15 @@
         return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     }
 
+    /// Whether the target refused an earlier attempt of the request here. It may write that refusal once
+    /// more, and nothing tells it from the answer to a later attempt.
+    bool has_refused(std::string const& request_id) const {
+        return std::ranges::find(this->refused_ids, request_id) != this->refused_ids.end();
+    }
+
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
+    std::vector<std::string> refused_ids; ///< Of the requests that the target did not run.
     time_point idle_since;
     duration idle_limit{default_idle_limit};
 };
@@ -119,7 +128,7 @@
 
 private:
     bool try_reuse() {
-        this->connection = this->client.acquire_idle(this->request.idempotent);
+        this->connection = this->client.acquire_idle(this->request.idempotent, this->request.request_id);
         if (this->connection == nullptr) {
             return false;
         }
@@ -295,8 +304,12 @@
         // The caller would take such a status as "not run", which the target has not stated.
         bool const is_unconfirmed_not_run =
             dialect.means_not_run(status) && !states_not_run && !is_other_instance;
+        if (states_not_run || is_other_instance) {
+            this->connection->refused_ids.push_back(this->request.request_id);
+        }
         bool const is_reusable = response.keep_alive() && !this->was_cancelled &&
-                                 this->connection->buffer.size() == 0 && this->stray_answers == 0;
+                                 this->connection->buffer.size() == 0 && this->stray_answers == 0 &&
+                                 this->connection->refused_ids.size() <= max_refused_ids;
         if (is_reusable) {
             this->connection->idle_limit = idle_limit_from(response);
             this->client.keep_for_reuse(std::move(this->connection));
@@ -339,7 +352,9 @@
         auto const instance = response[dialect.answering_instance.empty() ? "-" : dialect.answering_instance];
         bool const is_wanted = dialect.answering_instance.empty() || this->request.instance.empty() ||
                                instance == this->request.instance;
-        if (response.keep_alive() && !this->was_cancelled && this->connection->buffer.size() == 0) {
+        // What names another instance or none may be a late answer, with that to the check still to come.
+        if (is_wanted && response.keep_alive() && !this->was_cancelled &&
+            this->connection->buffer.size() == 0) {
             this->connection->idle_limit = idle_limit_from(response);
             this->client.keep_for_reuse(std::move(this->connection));
         }
@@ -449,17 +464,21 @@
     });
 }
 
-std::unique_ptr<target_connection> target_client::acquire_idle(bool idempotent) {
+std::unique_ptr<target_connection> target_client::acquire_idle(bool idempotent,
+                                                               std::string const& request_id) {
     auto const now = monotonic_clock::now();
-    while (!this->idle_connections.empty()) {
-        auto const& newest = *this->idle_connections.back();
-        auto const age = now - newest.idle_since;
-        bool const is_sound = age < newest.idle_limit * idempotent_reuse_fraction;
-        if (is_sound && !idempotent && age >= newest.idle_limit * non_idempotent_reuse_fraction) {
+    for (auto position = this->idle_connections.size(); position > 0; --position) {
+        auto const found = this->idle_connections.begin() + static_cast<std::ptrdiff_t>(position - 1);
+        auto const age = now - (*found)->idle_since;
+        bool const is_sound = age < (*found)->idle_limit * idempotent_reuse_fraction;
+        if (is_sound && !idempotent && age >= (*found)->idle_limit * non_idempotent_reuse_fraction) {
             return nullptr; // Idempotent requests may still use it.
         }
-        auto connection = std::move(this->idle_connections.back());
-        this->idle_connections.pop_back();
+        if (is_sound && (*found)->has_refused(request_id)) {
+            continue;
+        }
+        auto connection = std::move(*found);
+        this->idle_connections.erase(found);
         if (is_sound && connection->is_usable()) {
             return connection;
         }
--- a/libraries/http/target_client.hpp
+++ b/libraries/http/target_client.hpp
@@ -102,8 +102,9 @@
     void run_commands();
     boost::asio::ip::tcp::endpoint target_endpoint() const;
     /// Returns an idle connection that the target should still keep open, or null. For a non-idempotent
-    /// request the connection must be further from the target's idle limit.
-    std::unique_ptr<target_connection> acquire_idle(bool idempotent);
+    /// request the connection must be further from the target's idle limit. None on which the target has
+    /// refused a request with the same id.
+    std::unique_ptr<target_connection> acquire_idle(bool idempotent, std::string const& request_id);
     void keep_for_reuse(std::unique_ptr<target_connection> connection);
     /// Whether a connection in use is likely to become free within the time that a request may wait for one.
     bool expects_free_connection() const;
--- a/tests/http/dialect_test.cpp
+++ b/tests/http/dialect_test.cpp
@@ -11,6 +11,7 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <poll.h>
 #include <unistd.h>
 #include <vector>
 
@@ -34,6 +35,7 @@
             .instance = "Wanted",
             .not_run = "Untouched",
             .integrity = "Mark",
+            .answering_instance = "Answering",
             .checks_request_id = true,
             .has_extension_headers = false,
             .forwards_authority = true,
@@ -55,8 +57,10 @@
 /// connection after the last of them.
 class scripted_target {
 public:
-    scripted_target(std::uint16_t port, std::vector<std::string> answers)
-        : script(std::move(answers)),
+    /// `later_answers`: of all connections after the first; the same if empty.
+    scripted_target(std::uint16_t port, std::vector<std::string> answers,
+                    std::vector<std::string> later_answers = {})
+        : script(std::move(answers)), later_script(std::move(later_answers)),
           target(port, [this](asio::ip::tcp::socket& socket) { this->serve(socket); }) {}
 
     std::atomic<int> arrivals{0};
@@ -65,9 +69,13 @@
 
 private:
     void serve(asio::ip::tcp::socket& socket) {
-        ++this->connections;
+        bool const is_later = this->connections++ > 0 && !this->later_script.empty();
         boost::system::error_code error;
-        for (auto const& answer : this->script) {
+        for (auto const& answer : is_later ? this->later_script : this->script) {
+            pollfd readable{.fd = socket.native_handle(), .events = POLLIN, .revents = 0};
+            if (!this->later_script.empty() && ::poll(&readable, 1, idle_limit_ms) == 0) {
+                break; // The next connection is served.
+            }
             std::string text;
             asio::read_until(socket, asio::dynamic_buffer(text), "\r\n\r\n", error);
             if (error) {
@@ -79,7 +87,9 @@
         }
     }
 
+    static constexpr int idle_limit_ms = 500;
     std::vector<std::string> script;
+    std::vector<std::string> later_script;
     sequential_target target; ///< Declared last, since its thread uses the members above.
 };
 
@@ -258,3 +268,54 @@
     REQUIRE(fixture.seen.headers.size() == 1);
     CHECK(fixture.seen.headers.front() == header_field{"Extra", "kept"});
 }
+
+// A target wrote an earlier refusal once more on a kept connection, and a request that it was running was
+// reported as not run.
+TEST_CASE("a repeated refusal is not taken for the answer to a later attempt of the same request") {
+    auto const port = next_port();
+    auto const refusal = answer_text("503 Full", "Id: r1\r\nUntouched: 1\r\n", "");
+    auto const other = answer_text("200 OK", "Id: r2\r\nMark: m\r\n", "other");
+    auto const own = answer_text("200 OK", "Id: r1\r\nMark: m\r\n", "own");
+    scripted_target target(port, {refusal, other, refusal + own}, {own});
+    strict_client client(port);
+    CHECK(client.ask("r1").result == outcome::not_run);
+    CHECK(client.ask("r2").result == outcome::ran);
+    auto const answer = client.ask("r1");
+    CHECK(answer.result == outcome::ran);
+    CHECK(answer.body == "own");
+}
+
+TEST_CASE("a repeated refusal is not taken for the answer to another request") {
+    auto const refusal = answer_text("503 Full", "Id: r0\r\nUntouched: 1\r\n", "");
+    auto const own = answer_text("200 OK", "Id: r1\r\nMark: m\r\n", "own");
+    CHECK(answer_to({refusal + refusal + own}).body == "own");
+    auto const nameless = answer_text("503 Full", "Untouched: 1\r\n", "");
+    CHECK(answer_to({nameless + own}).result == outcome::unknown);
+}
+
+TEST_CASE("after a repeated refusal in place of a health check's answer the connection is not used again") {
+    auto const port = next_port();
+    auto const refusal = answer_text("503 Full", "Id: r0\r\nUntouched: 1\r\n", "");
+    auto const health = answer_text("200 OK", "Answering: i-1\r\n", "");
+    auto const own = answer_text("200 OK", "Id: r1\r\nMark: m\r\n", "own");
+    scripted_target target(port, {refusal, health + own}, {own});
+    strict_client client(port);
+    auto const checked = client.send({.method = "GET",
+                                      .path = "/health",
+                                      .deadline = monotonic_clock::now() + duration{3000},
+                                      .instance = "i-1",
+                                      .is_health_check = true});
+    CHECK(checked.code == result_code::target_replaced);
+    CHECK(client.ask("r1").body == "own");
+}
+
+// A target stopped in the middle of the head of its answer and closed the connection.
+TEST_CASE("an answer that ends anywhere within its head is not taken as whole") {
+    for (std::string const fields : {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+        std::string const head = "HTTP/1.1 200 OK\r\nId: r1\r\nMark: m\r\n" + fields + "\r\n";
+        for (std::size_t size = 1; size < head.size(); ++size) {
+            CAPTURE(head.substr(0, size));
+            CHECK(answer_to({head.substr(0, size)}).result == outcome::unknown);
+        }
+    }
+}
