--- a/libraries/platform/document_source.cpp
+++ b/libraries/platform/document_source.cpp
@@ -4,13 +4,20 @@
 #include <QJsonObject>
 #include <QNetworkReply>
 
+#include <cmath>
+
 namespace caraway {
 
 namespace {
 
-constexpr int watch_wait_ms = 10'000;
-constexpr duration transfer_timeout{15'000};
-constexpr int retry_pause_ms = 500;
+/// Longest wait of a watch at the platform. A connection may fall silent at any moment, and a document that
+/// is published then has to be in force 4 s later: the overdue answer and a new call come before the spread.
+constexpr duration watch_wait{1500};
+/// A watch fails so long after its answer was due.
+constexpr duration overdue_timeout{500};
+/// A call that does not wait fails after so long without progress.
+constexpr duration answer_timeout{1000};
+constexpr int retry_pause_ms = 200;
 
 } // namespace
 
@@ -44,15 +51,18 @@
         return;
     }
     current.request_pending = true;
+    // After a failure nothing waits at the platform, so that a missing answer shows soon.
+    auto const wait = current.has_failed ? duration{0} : watch_wait;
+    auto const timeout = current.has_failed ? answer_timeout : watch_wait + overdue_timeout;
     this->client.get("/v1/watch/" + current.name + "?after=" + current.known_revision +
-                         "&wait_ms=" + std::to_string(watch_wait_ms),
-                     transfer_timeout,
-                     [this, &current](QNetworkReply& reply) { this->on_watched(current, reply); });
+                         "&wait_ms=" + std::to_string(std::llround(wait.milliseconds)),
+                     timeout, [this, &current](QNetworkReply& reply) { this->on_watched(current, reply); });
 }
 
 void document_source::on_watched(watch& current, QNetworkReply& reply) {
     current.request_pending = false;
-    if (reply.error() != QNetworkReply::NoError) {
+    current.has_failed = reply.error() != QNetworkReply::NoError;
+    if (current.has_failed) {
         return this->report_failure(reply.errorString().toStdString());
     }
     auto const object = QJsonDocument::fromJson(reply.readAll()).object();
@@ -106,7 +116,7 @@
         return this->callbacks.on_configuration(bundle(this->current_bundle));
     }
     auto const name = this->missing_values.back();
-    this->client.get("/v1/values/" + name, transfer_timeout, [this, name](QNetworkReply& reply) {
+    this->client.get("/v1/values/" + name, answer_timeout, [this, name](QNetworkReply& reply) {
         bool const expected =
             this->incoming_bundle && !this->missing_values.empty() && this->missing_values.back() == name;
         if (!expected) {
--- a/libraries/platform/document_source.hpp
+++ b/libraries/platform/document_source.hpp
@@ -33,6 +33,7 @@
         std::string name;
         std::string known_revision{"0"}; ///< The platform's revision of the last document received.
         bool request_pending{false};
+        bool has_failed{false}; ///< The last request failed.
     };
     using text_handler = std::function<void(std::string&&)>;
 
