tests: Give each fleet of a test loopback addresses that no other program uses

Change: a block is claimed by a bound socket for as long as it is used; taken blocks are drawn again. Measured: a hundred blocks at once are all different (new test); product code unchanged.

--- a/tests/standins/fleet.cpp
+++ b/tests/standins/fleet.cpp
@@ -64,10 +64,8 @@
 }
 
 fleet::fleet(fleet_options wanted) : options(std::move(wanted)), folder(make_folder()) {
-    // Each fleet uses loopback addresses of its own, so that sockets left by one run do not conflict with
-    // those of the next.
-    this->prefix = "127." + std::to_string(16 + random_number() % 200);
-    this->platform_service = std::make_unique<platform_standin>(this->prefix + ".0.1", platform_port);
+    auto const& prefix = this->addresses.text();
+    this->platform_service = std::make_unique<platform_standin>(prefix + ".0.1", platform_port);
     std::map<std::string, int> domain_numbers;
     std::map<std::string, int> host_numbers;
     for (auto& host : this->options.hosts) {
@@ -75,11 +73,11 @@
             domain_numbers.try_emplace(host.failure_domain, static_cast<int>(domain_numbers.size()) + 1);
         if (inserted) {
             this->platform_proxies[host.failure_domain] =
-                std::make_unique<fault_proxy>(this->prefix + "." + std::to_string(number->second) + ".250",
-                                              platform_port, this->prefix + ".0.1", platform_port);
+                std::make_unique<fault_proxy>(prefix + "." + std::to_string(number->second) + ".250",
+                                              platform_port, prefix + ".0.1", platform_port);
         }
         auto node = std::make_unique<fleet_node>();
-        node->ip = this->prefix + "." + std::to_string(number->second) + "." +
+        node->ip = prefix + "." + std::to_string(number->second) + "." +
                    std::to_string(++host_numbers[host.failure_domain]);
         this->domains_by_ip[node->ip] = host.failure_domain;
         host.target.egress_address = node->ip;
--- a/tests/standins/fleet.hpp
+++ b/tests/standins/fleet.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "standins/fault_proxy.hpp"
+#include "standins/loopback_prefix.hpp"
 #include "standins/platform_standin.hpp"
 #include "standins/target_standin.hpp"
 #include "standins/test_client.hpp"
@@ -120,7 +121,8 @@
 
     fleet_options options;
     std::string folder;
-    std::string prefix; ///< "127.X".
+    /// Of this fleet alone, so that sockets left by one run do not conflict with those of another.
+    loopback_prefix addresses;
     std::uint64_t configuration_revision{0};
     std::vector<evacuated_domain> evacuated_domains;
     std::map<std::uint64_t, bundle> history;
--- a/tests/system/platform_test.cpp
+++ b/tests/system/platform_test.cpp
@@ -16,7 +16,9 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <memory>
 #include <mutex>
+#include <set>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -142,7 +144,7 @@
         }
     }
 
-    std::string address(int number) const { return this->prefix + "." + std::to_string(number); }
+    std::string address(int number) const { return this->addresses.text() + ".77." + std::to_string(number); }
 
     bool wait_ready() {
         return wait_until(
@@ -230,7 +232,7 @@
     }
 
 private:
-    std::string prefix{"127." + std::to_string(16 + random_number() % 200) + ".77"};
+    loopback_prefix addresses;
     std::string folder{
         std::filesystem::temp_directory_path() /
         ("caraway-pair-" + std::to_string(::getpid()) + "-" + std::to_string(random_number() % 100'000))};
@@ -245,6 +247,17 @@
 
 } // namespace
 
+// Two test programs drew the same block at times, and the later one ended because its address was in use.
+TEST_CASE("blocks of loopback addresses are never used twice at the same time") {
+    std::set<std::string> blocks;
+    std::vector<std::unique_ptr<standins::loopback_prefix>> claims;
+    for (std::size_t count = 1; count <= 100; ++count) {
+        claims.push_back(std::make_unique<standins::loopback_prefix>());
+        blocks.insert(claims.back()->text());
+        REQUIRE(blocks.size() == count);
+    }
+}
+
 TEST_CASE("a request and the nested call of its target pass through two nodes on the users' platform") {
     platform_pair pair;
     REQUIRE(pair.wait_ready());
