node: Count cancellations, refused events and what is live at the end of a drain

Change: counters cancellations and cancellations_without_effect, gauge core_events_refused, log line drain_ended; no logic is changed but that a node which has ended its drain does not submit the event again.

--- a/libraries/node/core_thread.cpp
+++ b/libraries/node/core_thread.cpp
@@ -47,7 +47,9 @@
 }
 
 bool core_thread::push(core_event&& event) {
-    return this->events.try_push(std::make_unique<core_event>(std::move(event)));
+    bool const accepted = this->events.try_push(std::make_unique<core_event>(std::move(event)));
+    this->refused_events += accepted ? 0 : 1;
+    return accepted;
 }
 
 std::shared_ptr<node_status const> core_thread::status_with_texts() {
@@ -86,6 +88,7 @@
         bool const has_reader = now - time_point{this->texts_read_at} < text_reader_timeout;
         bool const with_texts = has_reader || now >= this->next_text_refresh;
         this->next_text_refresh = with_texts ? now + unread_texts_interval : this->next_text_refresh;
+        this->core.set_refused_event_count(this->refused_events);
         auto snapshot = this->core.status(with_texts, now);
         if (!with_texts) {
             snapshot->metrics_text = this->published_status->metrics_text;
--- a/libraries/node/core_thread.hpp
+++ b/libraries/node/core_thread.hpp
@@ -49,6 +49,7 @@
     /// Holds pointers, since a ring of the events themselves would occupy many megabytes once all its slots
     /// had been used.
     bounded_queue<std::unique_ptr<core_event>> events;
+    std::atomic<std::uint64_t> refused_events{0}; ///< Because the ring was full.
     std::atomic<bool> idle{true};
     std::shared_ptr<node_status const> published_status;
     time_point next_status_refresh;
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -654,11 +654,13 @@
     if (work == nullptr) {
         return;
     }
+    this->context.node_metrics.increment_counter("cancellations");
     if (work->stage == execution::state::queued) {
         this->queue.remove(work->id);
         return this->refuse(work->id, result_code::cancelled, now);
     }
     if (!work->is_idempotent() || work->waiters.size() > 1) {
+        this->context.node_metrics.increment_counter("cancellations_without_effect");
         // It continues: other waiters may need its answer, and after a cancellation nobody could tell whether
         // it ran.
         return;
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -531,6 +531,8 @@
     snapshot->documents_ready = this->is_ready();
     snapshot->ready = snapshot->documents_ready && this->context.phase == node_phase::serving;
     snapshot->reads_platform = this->reads_platform();
+    snapshot->call_count = this->router.call_count();
+    snapshot->execution_count = this->local_executor.execution_count();
     snapshot->configuration_revision = this->documents.revision(document_kind::configuration);
     snapshot->configuration = this->documents.content(document_kind::configuration);
     if (!with_texts) {
@@ -554,6 +556,7 @@
     node_metrics.set_gauge("domains_evacuated",
                            static_cast<double>(this->context.evacuations.in_force().size()));
     node_metrics.set_gauge("links_open", static_cast<double>(this->context.peers.connected_hosts().size()));
+    node_metrics.set_gauge("core_events_refused", static_cast<double>(this->refused_event_count));
     node_metrics.set_gauge("requests_live", static_cast<double>(this->router.call_count()));
     snapshot->metrics_text = node_metrics.to_prometheus();
     snapshot->status_json = status_to_json({.context = this->context,
--- a/libraries/node/node_core.hpp
+++ b/libraries/node/node_core.hpp
@@ -26,6 +26,8 @@
     std::uint64_t configuration_revision{0};
     std::shared_ptr<bundle const> configuration; ///< As published; keys are in it as hashes only.
     bool reads_platform{false};
+    std::size_t call_count{0};      ///< Requests of callers and of the own target without an answer.
+    std::size_t execution_count{0}; ///< Requests that wait for the own target or run there.
 };
 
 class node_core {
@@ -47,6 +49,8 @@
     /// Whether no request is live, so that a draining node may stop.
     bool is_idle() const;
     bool is_ready() const;
+    /// How many events found the ring to this class full, for the metrics.
+    void set_refused_event_count(std::uint64_t count) { this->refused_event_count = count; }
 
 private:
     void on_link(link_event&& event, time_point now);
@@ -92,6 +96,7 @@
     time_point next_peer_tasks;
     time_point next_cleanup;
     std::size_t next_gossip_index{0};
+    std::uint64_t refused_event_count{0};
     bool has_new_suspects{false};
     bool has_news{false}; ///< For gossip to several peers at once.
 };
--- a/libraries/node/node_runtime.cpp
+++ b/libraries/node/node_runtime.cpp
@@ -8,6 +8,7 @@
 #include <QNetworkReply>
 #include <QNetworkRequest>
 
+#include <cmath>
 #include <malloc.h>
 
 namespace caraway {
@@ -282,10 +283,22 @@
     bool const drained =
         now - this->draining_since >= min_drain_time && now - this->idle_since >= min_idle_time;
     if (drained) {
-        this->state_machine->submit_event("drained");
+        this->end_drain("drained", *status, now);
     } else if (now - this->draining_since >= duration{this->options.drain_ms}) {
-        this->state_machine->submit_event("drain.timeout");
+        this->end_drain("drain.timeout", *status, now);
     }
 }
 
+void node_runtime::end_drain(std::string const& event, node_status const& status, time_point now) {
+    this->telemetry.enqueue_log(
+        log_entry{log_level::info,
+                  "drain_ended",
+                  {{"reason", event},
+                   {"after_ms", std::to_string(std::llround((now - this->draining_since).milliseconds))},
+                   {"calls", std::to_string(status.call_count)},
+                   {"executions", std::to_string(status.execution_count)}}});
+    this->draining_since = {};
+    this->state_machine->submit_event(event);
+}
+
 } // namespace caraway
--- a/libraries/node/node_runtime.hpp
+++ b/libraries/node/node_runtime.hpp
@@ -46,6 +46,8 @@
     void check_pending_documents();
     void on_state_entered(std::string const& name);
     void poll_core();
+    /// Leaves the state "draining" with this event of the state chart.
+    void end_drain(std::string const& event, node_status const& status, time_point now);
     void post_spans(std::string text);
     listener_events make_listener_events(listener_side side);
     std::unique_ptr<http_listener> make_listener(endpoint const& address, listener_side side);
