--- a/tests/http/pipeline_test.cpp
+++ b/tests/http/pipeline_test.cpp
@@ -7,8 +7,10 @@
 #include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <condition_variable>
 #include <mutex>
+#include <thread>
 #include <unistd.h>
 #include <vector>
 
@@ -36,11 +38,11 @@
         tests::open_or_fail(this->listener);
     }
 
-    bool wait_for(std::size_t requests, std::size_t disconnects = 0) {
+    bool wait_for(std::size_t requests, std::size_t disconnects = 0,
+                  std::chrono::milliseconds limit = std::chrono::seconds(10)) {
         std::unique_lock lock(this->mutex);
-        return this->changed.wait_for(lock, std::chrono::seconds(10), [&] {
-            return this->ids.size() >= requests && this->disconnected >= disconnects;
-        });
+        return this->changed.wait_for(
+            lock, limit, [&] { return this->ids.size() >= requests && this->disconnected >= disconnects; });
     }
     void answer(std::size_t index, std::string body) {
         this->listener.enqueue_answer({.id = this->ids.at(index), .status = 200, .body = std::move(body)});
@@ -138,6 +140,65 @@
     CHECK(fixture.wait_for(2, 2));
 }
 
+// A session whose pipeline was full took the bytes of further requests for a sign that its caller was
+// connected.
+TEST_CASE(
+    "a caller's disconnect behind requests that are not read yet is reported, and they are not processed") {
+    pipelining_listener fixture;
+    test_client client("127.0.0.1", fixture.port);
+    REQUIRE(client.send_raw(two_requests + two_requests));
+    REQUIRE(fixture.wait_for(4));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    REQUIRE(client.send_raw(two_requests));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    client.close();
+    CHECK(fixture.wait_for(4, 4));
+    fixture.answer(0, "late");
+    CHECK_FALSE(fixture.wait_for(5, 4, std::chrono::milliseconds(500)));
+}
+
+// The same for a caller that sends more behind a request that ends its connection.
+TEST_CASE("a caller's disconnect behind bytes after its last request is reported") {
+    pipelining_listener fixture;
+    test_client client("127.0.0.1", fixture.port);
+    REQUIRE(client.send_raw("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"));
+    REQUIRE(fixture.wait_for(1));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    REQUIRE(client.send_raw(two_requests));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    client.close();
+    CHECK(fixture.wait_for(1, 1));
+}
+
+// The same for a connection that ends because the listener drains.
+TEST_CASE("a caller's disconnect behind requests that a draining listener does not read is reported") {
+    pipelining_listener fixture;
+    test_client client("127.0.0.1", fixture.port);
+    fixture.drain();
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    REQUIRE(client.send_raw(two_requests));
+    REQUIRE(fixture.wait_for(1));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    REQUIRE(client.send_raw(two_requests));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    client.close();
+    CHECK(fixture.wait_for(1, 1));
+}
+
+TEST_CASE("requests beyond the pipeline's length are processed as answers make room") {
+    pipelining_listener fixture;
+    test_client client("127.0.0.1", fixture.port);
+    REQUIRE(client.send_raw(two_requests + two_requests));
+    REQUIRE(fixture.wait_for(4));
+    REQUIRE(client.send_raw(two_requests));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    for (std::size_t index = 0; index < 6; ++index) {
+        REQUIRE(fixture.wait_for(index + 1));
+        fixture.answer(index, std::to_string(index));
+        CHECK(client.read_answer().body == std::to_string(index));
+    }
+}
+
 TEST_CASE("a draining listener answers every request it has read before it closes the connection") {
     pipelining_listener fixture;
     test_client client("127.0.0.1", fixture.port);
--- a/tests/http/target_client_test.cpp
+++ b/tests/http/target_client_test.cpp
@@ -87,6 +87,37 @@
     }
 }
 
+// A cancellation that met a full queue was dropped, and the target ran a request that nobody waited for.
+TEST_CASE("a request is cancelled although the client's queue is full") {
+    auto const port = next_port();
+    closing_target target(port, 1);
+    event_loop_thread loop;
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::vector<target_answer> answers;
+    target_client client(
+        {.address = "127.0.0.1", .port = port, .max_requests = 1},
+        [&](target_answer&& answer) {
+            std::lock_guard const guard(mutex);
+            answers.push_back(std::move(answer));
+            changed.notify_all();
+        },
+        event_loop_handle(loop));
+    REQUIRE(client.send(
+        {.id = 1, .method = "GET", .path = "/", .deadline = monotonic_clock::now() + duration{5000}}));
+    client.cancel(1);
+    loop.start();
+    {
+        std::unique_lock lock(mutex);
+        REQUIRE(changed.wait_for(lock, std::chrono::seconds(10), [&] { return !answers.empty(); }));
+        CHECK(answers.front().result == outcome::not_run);
+        CHECK(answers.front().code == result_code::cancelled);
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    CHECK(target.arrivals == 0);
+    loop.stop();
+}
+
 TEST_CASE("a request to an unreachable target has not run") {
     post_client client(next_port());
     auto const answer = client.ask("POST");
--- a/tests/node/fleet_guarantees_test.cpp
+++ b/tests/node/fleet_guarantees_test.cpp
@@ -150,6 +150,52 @@
     CHECK(refused_early == 0);
 }
 
+// Requests were taken until a fixed share of the drain time had passed, whatever time they could last.
+TEST_CASE("a draining host takes no request that may not be repeated and could outlast the drain") {
+    auto plan = two_layers();
+    plan.drain_ms = 2000;
+    plan.services.back().service_time = duration{1700};
+    simulated_fleet fleet(plan);
+    auto const leaving = fleet.hosts_of("front").front();
+    fleet.terminate(leaving);
+    std::vector<std::string> requests;
+    fleet.run_for(duration{1900}, [&, step = 0]() mutable {
+        if (++step % 100 == 0) {
+            requests.push_back(fleet.send_request(leaving, "/back/write", 2000));
+        }
+    });
+    fleet.run_for(duration{3000});
+    for (auto const& id : requests) {
+        CHECK(fleet.answers().at(id).result == outcome::not_run);
+        CHECK(fleet.runs_of(id) == 0);
+    }
+}
+
+// A request of a caller that looked like a call of the own target was taken until the process ended.
+TEST_CASE("a draining host takes no late request that only may be a call of its target") {
+    auto plan = two_layers();
+    plan.drain_ms = 5000;
+    plan.calls = call_correlation::deadline;
+    plan.services.back().service_time = duration{4000};
+    for (auto const* name : {"front-read", "back-read", "back-write"}) {
+        plan.configuration["routes"][name]["deadline_ms"] = {.value = 10'000.0};
+    }
+    simulated_fleet fleet(plan);
+    auto const leaving = fleet.hosts_of("front").front();
+    for (int count = 0; count < 12; ++count) {
+        fleet.send_request(leaving, "/front/read", 10'000);
+    }
+    fleet.run_for(duration{50});
+    fleet.terminate(leaving);
+    fleet.run_for(duration{3500});
+    auto const late = fleet.send_request(leaving, "/back/write", 4000);
+    fleet.run_for(duration{100});
+    CHECK(fleet.answers().at(late).result == outcome::not_run);
+    CHECK(fleet.answers().at(late).code == result_code::leaving);
+    fleet.run_for(duration{3000});
+    CHECK(fleet.runs_of(late) == 0);
+}
+
 TEST_CASE("a host whose target is no longer in the host list sends it no further requests") {
     simulated_fleet fleet(two_layers());
     auto const unlisted_host = fleet.hosts_of("back").front();
--- a/tests/node/simulated_fleet.cpp
+++ b/tests/node/simulated_fleet.cpp
@@ -41,8 +41,10 @@
     std::unique_ptr<node_core> core;
     std::map<connection_id, link_end> links;
     connection_id next_accepted{connection_id{1} << 63U};
-    std::map<std::uint64_t, std::size_t> running; ///< Id of a target request to the index of its run.
-    std::vector<core_event> held_events;          ///< Arrived while the process was paused.
+    std::map<std::uint64_t, target_request> connecting; ///< Requests that wait for a connection, by id.
+    std::map<std::uint64_t, std::size_t> running;       ///< Id of a target request to the index of its run.
+    std::set<std::uint64_t> unrepeatable; ///< Those of the running requests that run once at most.
+    std::vector<core_event> held_events;  ///< Arrived while the process was paused.
     time_point next_tick;
     time_point paused_until;
     time_point partitioned_until;
@@ -199,10 +201,10 @@
         this->close(entry, connection);
     }
     for (auto const id : pending_effects.target_cancels) {
-        this->end_run(entry, id, true);
+        this->cancel_at_target(entry, id);
     }
     for (auto& request : pending_effects.target_requests) {
-        this->run_at_target(entry, std::move(request));
+        this->connect_to_target(entry, std::move(request));
     }
     for (auto& request : pending_effects.document_checks) {
         auto shared = std::make_shared<document_checked_event>(check_document(request));
@@ -311,11 +313,38 @@
                  }});
 }
 
+void simulated_fleet::connect_to_target(node& entry, target_request&& request) {
+    if (entry.service.connect_time <= duration{0}) {
+        return this->run_at_target(entry, std::move(request));
+    }
+    auto const id = request.id;
+    entry.connecting[id] = std::move(request);
+    this->pending_deliveries.emplace((this->clock + entry.service.connect_time).milliseconds,
+                                     delivery{entry.options.host, entry.incarnation, [this, id](node& at) {
+                                                  if (auto connected = at.connecting.extract(id)) {
+                                                      this->run_at_target(at, std::move(connected.mapped()));
+                                                  }
+                                              }});
+}
+
+void simulated_fleet::cancel_at_target(node& entry, std::uint64_t id) {
+    if (entry.connecting.erase(id) > 0) {
+        return this->handle_event(
+            entry, target_answer{.id = id, .result = outcome::not_run, .code = result_code::cancelled});
+    }
+    if (!entry.unrepeatable.contains(id)) {
+        this->end_run(entry, id, true);
+    }
+}
+
 void simulated_fleet::run_at_target(node& entry, target_request&& request) {
     auto const index = this->target_runs.size();
     this->target_runs.push_back({entry.options.host, request.request_id, request.path, this->clock,
                                  std::nullopt, request.deadline - this->clock});
     entry.running[request.id] = index;
+    if (!request.idempotent) {
+        entry.unrepeatable.insert(request.id);
+    }
     this->peak_over_slots =
         std::max(this->peak_over_slots, static_cast<int>(entry.running.size()) - entry.service.slots);
     if (!entry.service.calls.empty()) {
@@ -350,6 +379,7 @@
     auto const found_index = found->second;
     this->target_runs.at(found_index).ended = this->clock;
     entry.running.erase(found);
+    entry.unrepeatable.erase(id);
     std::uniform_real_distribution<double> share(0, 1);
     bool const is_lost = share(this->random) < entry.service.lost_answer_share;
     target_answer answer{.id = id};
@@ -406,13 +436,14 @@
             recorded.result = answer.metadata->result;
             recorded.code = answer.metadata->code;
             recorded.retry_after_ms = answer.metadata->retry_after_ms;
+            recorded.ticket = answer.metadata->ticket;
         }
         this->open_requests.erase(open_request);
     }
 }
 
 std::string simulated_fleet::send_request(std::string const& host, std::string const& path, double timeout_ms,
-                                          std::string const& key_sha256) {
+                                          std::string const& key_sha256, std::string const& ticket) {
     auto& entry = *this->nodes.at(host);
     if (entry.core == nullptr) {
         return {};
@@ -425,6 +456,7 @@
                                                .method = "GET",
                                                .path = path,
                                                .key_sha256 = key_sha256,
+                                               .idempotency_key = ticket,
                                                .request_id = request_id,
                                                .timeout_ms = timeout_ms});
     return request_id;
@@ -478,6 +510,8 @@
     entry.links.clear();
     entry.held_events.clear();
     entry.running.clear();
+    entry.connecting.clear();
+    entry.unrepeatable.clear();
     entry.core.reset();
     entry.incarnation = 0;
 }
--- a/tests/node/simulated_fleet.hpp
+++ b/tests/node/simulated_fleet.hpp
@@ -27,6 +27,7 @@
         duration service_time{20};   ///< Of each run, without the time of its call.
         std::string calls;           ///< Service that each run calls once; empty for none.
         double lost_answer_share{0}; ///< Fraction of the runs that end without an answer.
+        duration connect_time{0};    ///< How long each request waits for a connection to its target.
     };
     std::vector<target_service> services;
     std::vector<std::string> domains{"north", "south"};
@@ -53,6 +54,7 @@
     result_code code{result_code::ok};
     std::uint16_t status{0};
     double retry_after_ms{0};
+    std::string ticket; ///< Issued with the answer; empty for none.
 };
 
 /// One run at a target.
@@ -79,7 +81,7 @@
     /// Sends a caller's request. Returns its id, the key in `answers`, or an empty text when the host is
     /// dead.
     std::string send_request(std::string const& host, std::string const& path, double timeout_ms = 1000,
-                             std::string const& key_sha256 = {});
+                             std::string const& key_sha256 = {}, std::string const& ticket = {});
     void disconnect(std::string const& request_id);
 
     std::vector<std::string> hosts() const;
@@ -130,6 +132,8 @@
     void dial(node& entry, dial_request const& request);
     void close(node& entry, connection_id connection);
     void send_message(node& entry, outgoing_message&& outgoing);
+    void connect_to_target(node& entry, target_request&& request);
+    void cancel_at_target(node& entry, std::uint64_t id);
     void run_at_target(node& entry, target_request&& request);
     void call_below(node& entry, std::size_t run_index);
     void end_run(node& entry, std::uint64_t id, bool cancelled);
--- a/tests/system/faults_test.cpp
+++ b/tests/system/faults_test.cpp
@@ -143,6 +143,30 @@
     CHECK(load.ran > 100);
 }
 
+// Whoever still waited at the end of the drain time got no answer, not even that the outcome was unknown.
+TEST_CASE("at the end of its drain time a node answers every caller that still waits") {
+    fleet system({.configuration = base_configuration(),
+                  .hosts = flat_hosts(),
+                  .extra_settings = "[limits]\ndrain_ms = 3000\n"});
+    REQUIRE(system.wait_ready());
+    client_answer own_answer;
+    client_answer other_answer;
+    std::thread own_caller([&] { own_answer = system.call(0, "GET", "/front?hang=1", with_key()); });
+    std::thread other_caller([&] { other_answer = system.call(1, "GET", "/front?hang=1", with_key()); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    system.send_signal(0, SIGTERM);
+    int code = -1;
+    CHECK(system.wait_exit(0, std::chrono::seconds(10), code));
+    CHECK(code == 0);
+    own_caller.join();
+    CHECK(own_answer.status == 502);
+    CHECK(own_answer.outcome() == "unknown");
+    system.send_signal(1, SIGTERM);
+    CHECK(system.wait_exit(1, std::chrono::seconds(10), code));
+    other_caller.join();
+    CHECK(other_answer.outcome() == "unknown");
+}
+
 TEST_CASE("a host that is listed as leaving gets no new work after a few seconds") {
     fleet system({.configuration = base_configuration(), .hosts = flat_hosts()});
     REQUIRE(system.wait_ready());
