http: Notice a caller's disconnect behind bytes that are not read yet

Seen by callers: nothing; targets ran requests of callers that had left (GONE), up to 10 s after, and a request that had not been read yet was handed on after the close. Cause: a session that may read no request (full pipeline, last request, drain) peeked at its socket, took any bytes for a connected peer and did not look again. Change: it receives what arrives, up to 64 KiB for requests to come and 2 MiB to discard, and so reaches the end of the stream; one function decides after each step whether the session reads or watches. It also watches where a malformed request follows unanswered ones, and reads on where a drain begins as the last answer is written (read in the code, not shown by a test).

--- a/libraries/http/http_session.cpp
+++ b/libraries/http/http_session.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t max_request_id_bytes = 512;
 constexpr std::size_t max_header_value_bytes = 512;
 constexpr std::size_t linger_chunk_bytes = 16'384;
+/// Most bytes of further requests that are received while the pipeline is full.
+constexpr std::size_t max_read_ahead_bytes = 65'536;
 /// Most bytes that are discarded after the last answer; more than callers commonly have in transit.
 constexpr std::size_t max_linger_bytes = 2'097'152;
 /// Time for the peer to close the connection after the last answer.
@@ -148,11 +150,18 @@
     }
     this->pending.push_back({.id = id, .keep_alive = keep_alive, .is_head = is_head});
     this->closing = this->closing || !keep_alive;
-    if (this->closing || this->listener.draining ||
-        this->pending.size() >= this->listener.options.max_pipeline) {
-        return this->watch_for_disconnect();
+    this->continue_reading();
+}
+
+void http_session::continue_reading() {
+    if (this->reading || this->lingering) {
+        return;
+    }
+    bool const is_ending = this->closing || (this->listener.draining && !this->pending.empty());
+    if (!is_ending && this->pending.size() < this->listener.options.max_pipeline) {
+        return this->read();
     }
-    this->read();
+    this->watch_for_disconnect();
 }
 
 void http_session::on_read_error(boost::system::error_code error) {
@@ -180,13 +189,12 @@
     this->pending.push_back({.keep_alive = keep_alive, .is_head = is_head, .answer = std::move(answer)});
     this->closing = this->closing || !keep_alive;
     this->write_next();
-    if (!this->closing && !this->reading && this->pending.size() < this->listener.options.max_pipeline) {
-        this->read();
-    }
+    this->continue_reading();
 }
 
 void http_session::watch_for_disconnect() {
-    if (this->watching || !this->stream.socket().is_open()) {
+    bool const has_room = this->buffer.size() < max_read_ahead_bytes;
+    if (this->watching || !has_room || !this->stream.socket().is_open()) {
         return;
     }
     this->watching = true;
@@ -203,14 +211,27 @@
     if (error || this->reading || this->pending.empty()) {
         return;
     }
-    char byte = 0;
-    auto const received = ::recv(this->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    bool const disconnected =
-        received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-    if (disconnected) {
-        this->disconnect();
+    // What has arrived is received, since the end of the stream may be behind it.
+    auto const room = this->buffer.prepare(linger_chunk_bytes);
+    auto const received =
+        ::recv(this->stream.socket().native_handle(), room.data(), room.size(), MSG_DONTWAIT);
+    bool const is_empty = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    if (received <= 0 && !is_empty) {
+        return this->disconnect();
+    }
+    if (received > 0 && !this->keep_read_ahead(static_cast<std::size_t>(received))) {
+        return;
     }
-    // Any bytes are further requests; they stay in the socket's buffer until the pipeline has room.
+    this->watch_for_disconnect();
+}
+
+bool http_session::keep_read_ahead(std::size_t size) {
+    if (!this->closing && !this->listener.draining) {
+        this->buffer.commit(size);
+        return this->buffer.size() < max_read_ahead_bytes;
+    }
+    this->lingered_bytes += size; // Not committed: no further request is read.
+    return this->lingered_bytes <= max_linger_bytes;
 }
 
 void http_session::disconnect() {
@@ -264,10 +285,7 @@
         return this->linger();
     }
     this->write_next();
-    bool const has_room = this->pending.size() < this->listener.options.max_pipeline;
-    if (!this->closing && !this->reading && has_room && !this->listener.draining) {
-        this->read();
-    }
+    this->continue_reading();
 }
 
 http_session::response_type http_session::make_response(pending_request&& request, bool keep_alive) const {
--- a/libraries/http/http_session.hpp
+++ b/libraries/http/http_session.hpp
@@ -47,8 +47,15 @@
     void write_next();
     void on_written(boost::system::error_code error, bool keep_alive);
     response_type make_response(pending_request&& request, bool keep_alive) const;
+    /// Reads the next request, or only watches for a disconnect where none may be read now.
+    void continue_reading();
+    /// Also receives the bytes of further requests, up to a bound. A disconnect behind more than that is
+    /// noticed once they have been read.
     void watch_for_disconnect();
     void check_disconnected(boost::system::error_code error);
+    /// Keeps received bytes for further requests, or discards them if none is read any more. False when no
+    /// more may be received.
+    bool keep_read_ahead(std::size_t size);
     /// Reports every unanswered request as disconnected and closes the connection.
     void disconnect();
     /// Shuts down the sending side and discards what still arrives. Closing with unread bytes would reset the
--- a/tests/http/pipeline_test.cpp
+++ b/tests/http/pipeline_test.cpp
@@ -185,6 +185,17 @@
     CHECK(fixture.wait_for(1, 1));
 }
 
+// The end of the stream within a request was taken for a malformed request of a caller that waits for its
+// answers.
+TEST_CASE("a caller's disconnect in the middle of its next request is reported for the one before") {
+    pipelining_listener fixture;
+    test_client client("127.0.0.1", fixture.port);
+    REQUIRE(client.send_raw("GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HT"));
+    REQUIRE(fixture.wait_for(1));
+    client.close();
+    CHECK(fixture.wait_for(1, 1));
+}
+
 TEST_CASE("requests beyond the pipeline's length are processed as answers make room") {
     pipelining_listener fixture;
     test_client client("127.0.0.1", fixture.port);
