node, http: Stop work at its target as soon as nobody waits for it

Seen by callers: a request that may not be repeated reached its target 0.7 s after its caller had left (GONE); of two callers with one ticket, one that left ended the wait of the other. Cause: a cancellation did nothing for work that had been given to the target client and may not be repeated, though it might still wait for a connection; who waits for work was written down for the first caller only; nothing was done where a link closed. Change: the executor keeps who waits and stops what nobody waits for, also when a link closes; the target client, which alone knows what it has written, ends what it has not written, aborts what may be repeated and lets the rest run on.

--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -116,6 +116,9 @@
     }
 
     void cancel() {
+        if (this->was_written && !this->request.idempotent) {
+            return;
+        }
         this->was_cancelled = true;
         if (std::exchange(this->is_waiting, false)) {
             this->wait_timer.cancel();
@@ -217,6 +220,7 @@
         message.body() = std::move(this->request.body);
         message.prepare_payload();
         this->outgoing = std::move(message);
+        this->was_written = true;
         http::async_write(
             this->connection->stream, this->outgoing,
             [self = this->shared_from_this()](boost::system::error_code error, std::size_t sent) {
@@ -412,7 +416,8 @@
     http::request<http::string_body> outgoing;
     std::optional<http::response_parser<http::string_body>> parser;
     asio::steady_timer wait_timer;
-    bool is_waiting{false}; ///< For a connection that another call uses.
+    bool is_waiting{false};  ///< For a connection that another call uses.
+    bool was_written{false}; ///< The target may have got it.
     bool was_cancelled{false};
     int stray_answers{0}; ///< Skipped answers to other requests.
 };
--- a/libraries/http/target_client.hpp
+++ b/libraries/http/target_client.hpp
@@ -88,7 +88,8 @@
     /// Thread-safe. Returns false, without sending, if the queue is full.
     bool send(target_request&& request);
 
-    /// Thread-safe. Aborts a request in flight and closes its connection; the sink still receives an answer.
+    /// Thread-safe. Ends a request that has not been written as not run, and aborts one that is idempotent;
+    /// the sink still receives an answer. Does nothing to any other request.
     void cancel(std::uint64_t id);
 
 private:
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -249,7 +249,8 @@
     case ticket_verdict::wait: {
         auto* first = this->find(this->tickets.request_of(*parsed));
         if (first != nullptr) {
-            first->waiters.push_back(work.waiters.front());
+            auto const& waiter = first->waiters.emplace_back(work.waiters.front());
+            this->by_call[{waiter.host, waiter.call_id}] = first->id;
             return false;
         }
         this->refuse_new(work, result_code::ticket_spent, outcome::unknown, now);
@@ -650,23 +651,50 @@
     if (found == this->by_call.end()) {
         return;
     }
-    auto* work = this->find(found->second);
-    if (work == nullptr) {
-        return;
-    }
     this->context.node_metrics.increment_counter("cancellations");
-    if (work->stage == execution::state::queued) {
-        this->queue.remove(work->id);
-        return this->refuse(work->id, result_code::cancelled, now);
-    }
-    if (!work->is_idempotent() || work->waiters.size() > 1) {
-        this->context.node_metrics.increment_counter("cancellations_without_effect");
-        // It continues: other waiters may need its answer, and after a cancellation nobody could tell whether
-        // it ran.
-        return;
+    if (auto* work = this->find(found->second)) {
+        this->remove_waiter(*work, {from, 0, call_id});
+        if (work->waiters.empty()) {
+            this->stop(*work, now);
+        }
+    }
+}
+
+void executor::on_connection_lost(connection_id connection, time_point now) {
+    std::vector<std::uint64_t> abandoned;
+    for (auto& [id, work] : this->executions) {
+        auto const waiters = work.waiters;
+        for (auto const& waiter : waiters) {
+            if (waiter.connection == connection) {
+                this->remove_waiter(work, waiter);
+            }
+        }
+        // A ticket is sent again on another link.
+        if (work.waiters.size() < waiters.size() && work.waiters.empty() && !work.parsed_ticket) {
+            abandoned.push_back(id);
+        }
+    }
+    for (auto const id : abandoned) {
+        this->stop(this->executions.at(id), now);
+    }
+}
+
+void executor::remove_waiter(execution& work, execution::reply_address const& waiter) {
+    this->by_call.erase({waiter.host, waiter.call_id});
+    std::erase_if(work.waiters, [&waiter](auto const& entry) {
+        return entry.host == waiter.host && entry.call_id == waiter.call_id;
+    });
+}
+
+void executor::stop(execution& work, time_point now) {
+    if (work.stage == execution::state::queued) {
+        this->queue.remove(work.id);
+        return this->refuse(work.id, result_code::cancelled, now);
+    }
+    this->context.pending_effects.target_cancels.push_back(work.id);
+    if (work.is_idempotent()) {
+        this->orphan_child_calls(work);
     }
-    this->context.pending_effects.target_cancels.push_back(work->id);
-    this->orphan_child_calls(*work);
 }
 
 void executor::note_call_started(execution& parent, time_point now) {
--- a/libraries/node/executor.hpp
+++ b/libraries/node/executor.hpp
@@ -39,8 +39,9 @@
     std::uint64_t id{0};
     state stage{state::queued};
     forward_message request;
-    std::vector<reply_address> waiters; ///< More than one when copies of a ticket wait for the same run.
-    std::string context_token;          ///< The target sends it with the calls it makes for this request.
+    /// More than one when copies of a ticket wait for the same run, none when all have left.
+    std::vector<reply_address> waiters;
+    std::string context_token; ///< The target sends it with the calls it makes for this request.
     std::optional<ticket> parsed_ticket;
     time_point arrived;
     time_point deadline;
@@ -67,7 +68,10 @@
 
     void receive(std::string const& from, connection_id connection, forward_message&& request,
                  time_point now);
+    /// The caller of one attempt has left; work for which nobody waits any more is stopped.
     void cancel(std::string const& from, std::uint64_t call_id, time_point now);
+    /// Nobody waits at the other end of the connection any more; its host has given up what it sent on it.
+    void on_connection_lost(connection_id connection, time_point now);
     void on_target_answer(target_answer&& answer, time_point now);
     void run_periodic_tasks(time_point now);
 
@@ -153,6 +157,10 @@
     void follow_warm_up(bool was_learning);
     int limit_without_warm_up() const;
     void record_target_crash(std::uint64_t crashed_request, time_point now);
+    void remove_waiter(execution& work, execution::reply_address const& waiter);
+    /// Refuses queued work. The target client ends what it has not written, and the run of what may be
+    /// repeated; it lets any other run go on, since nobody could tell whether it had run.
+    void stop(execution& work, time_point now);
     void orphan_child_calls(execution& work);
     span make_span(execution const& work, answer_message const& answer) const;
     std::vector<admission_report> admission_reports(execution const& work) const;
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -128,6 +128,7 @@
         return;
     case link_event_kind::closed:
         this->context.peers.on_closed(event.connection);
+        this->local_executor.on_connection_lost(event.connection, now);
         return this->router.on_connection_lost(event.connection, now);
     case link_event_kind::refused:
         this->context.node_metrics.increment_counter("links_refused");
@@ -458,6 +459,7 @@
         this->observe_readers(now);
         for (auto const connection : this->context.peers.maintain_links(this->own_report(now), now)) {
             this->context.node_metrics.increment_counter("links_silent");
+            this->local_executor.on_connection_lost(connection, now);
             this->router.on_connection_lost(connection, now);
         }
     }
--- a/tests/http/target_client_test.cpp
+++ b/tests/http/target_client_test.cpp
@@ -142,6 +142,25 @@
     CHECK(answer.result == outcome::ran);
 }
 
+// After it has been written nobody could tell whether it had run.
+TEST_CASE("a request that may not be repeated is not cancelled once it has been written") {
+    auto const port = next_port();
+    standins::http_service target(
+        "127.0.0.1", port, [&](standins::http_request) -> asio::awaitable<standins::http_response> {
+            asio::steady_timer timer(co_await asio::this_coro::executor, std::chrono::milliseconds(400));
+            co_await timer.async_wait(asio::use_awaitable);
+            co_return standins::make_response(200, "done");
+        });
+    sequential_client client(port);
+    auto const answer = client.send({.method = "POST",
+                                     .path = "/",
+                                     .deadline = monotonic_clock::now() + duration{5000},
+                                     .idempotent = false},
+                                    true);
+    CHECK(answer.result == outcome::ran);
+    CHECK(answer.body == "done");
+}
+
 // Answers to health checks have neither the request's id nor the field that every other answer has.
 TEST_CASE("a health check tells how long the target is cold, and nothing where another instance answers") {
     auto const port = next_port();
