platform, node: End a drain before the grace time that the platform publishes

Seen by callers: where the grace time is shorter than the configured drain, requests without an answer (LOST). Cause: the drain time was a constant of the template, written for a grace time of 6 s. Measured: the new case of registry_documents_test.cpp needs the function that is new with it; it passes.

--- a/libraries/node/node_runtime.cpp
+++ b/libraries/node/node_runtime.cpp
@@ -33,11 +33,16 @@
 constexpr std::size_t message_overhead_bytes = 131'072;
 constexpr std::size_t min_message_limit_bytes = 1'500'000;
 
+settings with_drain_time(settings options, platform_traits const& traits) {
+    options.drain_ms = drain_time_within(traits.stop_grace, options.drain_ms);
+    return options;
+}
+
 } // namespace
 
 node_runtime::node_runtime(settings initial_settings, platform_binding platform_interface)
-    : options(std::move(initial_settings)), binding(std::move(platform_interface)),
-      incarnation(random_number()),
+    : options(with_drain_time(std::move(initial_settings), platform_interface.traits)),
+      binding(std::move(platform_interface)), incarnation(random_number()),
       telemetry({.service = "carawayd",
                  .host = options.host,
                  .file_descriptor = options.span_file_descriptor,
--- a/libraries/platform/platform_source.hpp
+++ b/libraries/platform/platform_source.hpp
@@ -8,6 +8,7 @@
 #include "policy/cold_pace.hpp"
 #include "policy/local_rate_share.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -47,8 +48,21 @@
     duration former_rate_span{0};
     /// How far the platform lets the fleet exceed what a cold target accepts; not at all by default.
     cold_tolerance cold;
+    /// How long after the signal to stop the platform kills the process; 0 if it does not say.
+    duration stop_grace{0};
 };
 
+/// The longest drain, in milliseconds, after which the last answers are sent and the process has ended before
+/// the platform kills it; at most the configured one.
+inline double drain_time_within(duration stop_grace, double configured_ms) {
+    constexpr duration stop_reserve{500};
+    constexpr duration shortest_drain{100};
+    if (stop_grace <= duration{0}) {
+        return configured_ms;
+    }
+    return std::min(configured_ms, std::max(shortest_drain, stop_grace - stop_reserve).milliseconds);
+}
+
 /// Everything that depends on the platform: how it is read, and the HTTP fields of its callers and targets.
 struct platform_binding {
     http_dialect dialect;
--- a/tests/platform/registry_documents_test.cpp
+++ b/tests/platform/registry_documents_test.cpp
@@ -1,6 +1,7 @@
 /// Translation of the registry's entries into the product's configuration and host list.
 
 #include "platform/document_revision.hpp"
+#include "platform/registry_binding.hpp"
 #include "platform/registry_documents.hpp"
 
 #include "base/digest.hpp"
@@ -61,6 +62,17 @@
 
 // Each heartbeat has a smaller figure; a target that is cold again has a greater one, maybe the same as
 // before.
+// The drain time was a setting of its own, and a process with a shorter grace time was killed while it
+// drained.
+TEST_CASE("a node's drain ends before the platform's published grace time") {
+    settings options;
+    options.platform_parameters = "drain-ms=2000,grace-s=3,loss-slack-ms=200";
+    auto const grace = registry::make_registry_binding(options).traits.stop_grace;
+    CHECK(drain_time_within(grace, 60'000) == 2500);
+    CHECK(drain_time_within(grace, 1000) == 1000);
+    CHECK(drain_time_within(duration{0}, 60'000) == 60'000);
+}
+
 TEST_CASE("the remaining time of a cold target changes the list when it ends or begins anew only") {
     auto const kept_after = [](double first, double then, double later_ms) {
         auto entry = warming(then, 1000 + later_ms);
