node: Answer everybody who still waits when a node stops

Seen by callers: at the end of a planned stop the connection of a request that was still live was closed without an answer, not even that its outcome was unknown, whether it ran, waited or had never been sent on (LOST). Cause: drain.timeout led to the state closing, which closed idle connections only, and the process ended 200 ms later. Change: the core has the phase closing: it answers its own callers and its target's calls first (not run where nothing was sent, else host_stopped with an unknown outcome, code 321), cancels what ran elsewhere for them, then tells the other hosts (what waits is not run, what runs has an unknown outcome, so that they may repeat what may be repeated at once).

--- a/libraries/base/result_code.hpp
+++ b/libraries/base/result_code.hpp
@@ -58,6 +58,7 @@
     domain_evacuated = 318,
     target_cold = 319,
     passed_on = 320,
+    host_stopped = 321,
 
     configuration_syntax = 400,
     configuration_unknown_name = 401,
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -745,6 +745,18 @@
     }
 }
 
+void executor::end_all(time_point now) {
+    this->refuse_queued(result_code::leaving, now);
+    std::vector<std::uint64_t> running;
+    for (auto const& [id, work] : this->executions) {
+        running.push_back(id);
+    }
+    for (auto const id : running) {
+        this->finish(this->executions.at(id), {.result = outcome::unknown, .code = result_code::peer_lost},
+                     now);
+    }
+}
+
 void executor::run_periodic_tasks(time_point now) {
     std::vector<std::uint64_t> late;
     this->queue.remove_expired(now, late);
--- a/libraries/node/executor.hpp
+++ b/libraries/node/executor.hpp
@@ -97,6 +97,9 @@
 
     /// Refuses queued root requests; called once when the node starts draining.
     void start_draining(time_point now);
+    /// Tells whoever waits that this node stops: as not run what waits for the own target, else with an
+    /// unknown outcome.
+    void end_all(time_point now);
     /// Whether the own target accepts no new work, by the host list or by its own statement.
     bool target_is_leaving() const {
         return this->context.target_is_leaving || this->local_target.is_leaving();
--- a/libraries/node/node_context.hpp
+++ b/libraries/node/node_context.hpp
@@ -23,7 +23,7 @@
 namespace caraway {
 
 /// The node's lifecycle phase, named after the states of lifecycle.scxml.
-enum class node_phase : std::uint8_t { starting, serving, draining, stopped };
+enum class node_phase : std::uint8_t { starting, serving, draining, closing, stopped };
 
 /// A message from a host, which may be this one.
 struct received_message {
@@ -58,7 +58,15 @@
         return this->peers.send(host, std::move(content), now, preferred, used);
     }
 
-    /// Whether the node is leaving, and a request accepted now might not be answered before it stops.
+    bool is_leaving() const { return this->phase > node_phase::serving; }
+
+    /// Whether a request that lasts as long as `span` would be answered before the node stops.
+    bool has_time_for(duration span, time_point now) const {
+        return !this->is_leaving() || (this->phase == node_phase::draining &&
+                                       now + span <= this->draining_since + duration{this->options.drain_ms});
+    }
+
+    /// Whether the node is leaving and accepts no further requests of callers.
     bool has_stopped_admitting(time_point now) const {
         bool const is_leaving = this->phase == node_phase::draining || this->phase == node_phase::stopped;
         return is_leaving &&
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -78,14 +78,14 @@
 }
 
 host_report node_core::own_report(time_point now) {
-    host_report report{
-        .incarnation = this->context.incarnation,
-        .ticket_window = this->local_executor.ticket_window(now),
-        .in_flight = static_cast<std::uint32_t>(this->local_executor.in_flight() +
-                                                this->local_executor.queue_length()),
-        .limit = static_cast<std::uint32_t>(this->local_executor.reported_limit()),
-        .leaving = this->context.phase == node_phase::draining || this->context.phase == node_phase::stopped,
-        .serving = this->context.phase == node_phase::serving && this->context.configuration != nullptr};
+    host_report report{.incarnation = this->context.incarnation,
+                       .ticket_window = this->local_executor.ticket_window(now),
+                       .in_flight = static_cast<std::uint32_t>(this->local_executor.in_flight() +
+                                                               this->local_executor.queue_length()),
+                       .limit = static_cast<std::uint32_t>(this->local_executor.reported_limit()),
+                       .leaving = this->context.is_leaving(),
+                       .serving = this->context.phase == node_phase::serving &&
+                                  this->context.configuration != nullptr};
     this->local_executor.target().describe(report, now);
     this->local_executor.describe_load(report, now);
     return report;
@@ -346,6 +346,11 @@
 
 void node_core::on_phase(node_phase phase, time_point now) {
     this->context.phase = phase;
+    if (phase == node_phase::closing) {
+        // Callers of this node first: what it cancels for them needs no answer of the executor.
+        this->router.end_all(now);
+        return this->local_executor.end_all(now);
+    }
     if (phase != node_phase::draining) {
         return;
     }
--- a/libraries/node/node_runtime.cpp
+++ b/libraries/node/node_runtime.cpp
@@ -25,8 +25,8 @@
 constexpr duration min_drain_time{1500};
 /// A node is drained after no request was live for this long: by then none is in transit to it either.
 constexpr duration min_idle_time{300};
-/// Time for the listeners to close their idle connections, which they do on another thread, before the node
-/// stops.
+/// Time for the last answers to be sent and for the listeners to close their idle connections, which happens
+/// on another thread, before the node stops.
 constexpr int close_delay_ms = 200;
 constexpr std::size_t max_pending_checks = 64;
 /// Room in a link message besides the body, for HTTP header fields and the message's own fields.
@@ -269,6 +269,7 @@
         this->core.push(phase_event{node_phase::draining});
         this->caller_listener->drain();
     } else if (name == "closing") {
+        this->core.push(phase_event{node_phase::closing});
         this->caller_listener->close_idle();
         if (this->egress_listener != nullptr) {
             this->egress_listener->close_idle();
--- a/libraries/node/request_router.cpp
+++ b/libraries/node/request_router.cpp
@@ -889,6 +889,23 @@
         auto& call = this->calls.at(id);
         this->cancel_attempt(call, now);
         this->finish_with_error(call, {result_code::deadline_passed}, now);
+void request_router::end_all(time_point now) {
+    std::vector<std::uint64_t> live;
+    for (auto const& [id, call] : this->calls) {
+        live.push_back(id);
+    }
+    for (auto const id : live) {
+        auto& call = this->calls.at(id);
+        bool const may_run = call.stage == pending_call::call_stage::in_flight || call.may_have_run;
+        this->cancel_attempt(call, now);
+        this->finish_call(call,
+                          {.result = may_run ? outcome::unknown : unsent_outcome(call),
+                           .code = may_run ? result_code::host_stopped : result_code::leaving,
+                           .retry_after_ms = may_run ? 0 : overload_retry_after_ms},
+                          now);
+    }
+}
+
     }
     for (auto const id : unsent) {
         auto const found = this->calls.find(id);
--- a/libraries/node/request_router.hpp
+++ b/libraries/node/request_router.hpp
@@ -72,6 +72,9 @@
     void on_connection_lost(connection_id connection, time_point now);
     /// Cancels a call that its caller, or the request it was made for, no longer needs.
     void cancel_call(std::uint64_t call, time_point now);
+    /// Answers every request that is live, because the node stops: as not run where nothing was sent, else
+    /// with an unknown outcome.
+    void end_all(time_point now);
     void run_periodic_tasks(time_point now);
     /// Removes expired entries; has to be called every few seconds.
     void remove_expired(time_point now) { this->admission.remove_expired(now); }
--- a/libraries/node/status_report.cpp
+++ b/libraries/node/status_report.cpp
@@ -83,7 +83,8 @@
 } // namespace
 
 std::string_view name_of(node_phase phase) {
-    static constexpr std::array<std::string_view, 4> names{"starting", "serving", "draining", "stopped"};
+    static constexpr std::array<std::string_view, 5> names{"starting", "serving", "draining", "closing",
+                                                           "stopped"};
     return names.at(static_cast<std::size_t>(phase));
 }
 
--- a/tests/node/simulated_fleet.cpp
+++ b/tests/node/simulated_fleet.cpp
@@ -577,6 +577,7 @@
             this->handle_event(*entry, phase_event{node_phase::serving});
         }
         if (entry->stops_at && this->clock >= *entry->stops_at) {
+            this->handle_event(*entry, phase_event{node_phase::closing});
             this->kill(host);
         }
     }
