node: Take no request in a drain that could outlast it

Seen by callers: requests that came late in the grace time were taken and passed on, and cut at its end, among them some that may not be repeated (LOST). Cause: admission ended after a fixed share of the drain time, whatever a request may last; a request that looked like a call of the own target was taken until the end. Change: a request is taken only if what it is expected to last fits into the rest of the drain: its objective where it may be repeated, 1.5 times that where it may not, its time limit where there is no objective or the limit is shorter. A request that only may be a call is taken where its time limit fits.

--- a/libraries/node/node_context.hpp
+++ b/libraries/node/node_context.hpp
@@ -33,8 +33,7 @@
 };
 
 /// The fraction of the drain time during which a leaving node still accepts requests. Callers that have not
-/// been notified yet keep sending for two seconds, and the longest request accepted then needs another two
-/// seconds to finish. A drain time of 5 s is enough for both; the default of 60 s leaves more time for each.
+/// been notified yet keep sending for a while; later requests would only keep the node from ending early.
 inline constexpr double draining_admission_fraction = 0.4;
 
 struct node_context {
@@ -68,8 +67,7 @@
 
     /// Whether the node is leaving and accepts no further requests of callers.
     bool has_stopped_admitting(time_point now) const {
-        bool const is_leaving = this->phase == node_phase::draining || this->phase == node_phase::stopped;
-        return is_leaving &&
+        return this->is_leaving() &&
                now - this->draining_since >= duration{this->options.drain_ms} * draining_admission_fraction;
     }
 
--- a/libraries/node/request_router.cpp
+++ b/libraries/node/request_router.cpp
@@ -85,6 +85,19 @@
     return matched.service;
 }
 
+/// How long a request is expected to last at most. One that may be repeated can be sent again where it lasts
+/// longer; of any other the caller would never learn the outcome.
+duration expected_span(listener_request const& request, route const& matched) {
+    constexpr double unrepeatable_factor = 1.5;
+    double const limit =
+        request.timeout_ms > 0 ? std::min(request.timeout_ms, matched.deadline_ms) : matched.deadline_ms;
+    double const objective = matched.latency_objective_ms;
+    if (objective <= 0) {
+        return duration{limit};
+    }
+    return duration{std::min(limit, matched.idempotent ? objective : unrepeatable_factor * objective)};
+}
+
 selection_request selection_of(pending_call const& call) {
     return {.service = call.service,
             .idempotent = call.idempotent,
@@ -173,7 +186,11 @@
             return this->start_inferred_call(std::move(request), *matched, parent, now);
         }
         // A nested call's deadline never exceeds that of the request it is made for, but may be earlier.
-        if (this->local_executor.has_execution_past(now + duration{request.timeout_ms})) {
+        // A node that drains can't tell a late caller from its target, so that what could outlast the drain
+        // is refused.
+        auto const limit = duration{std::min(request.timeout_ms, matched->deadline_ms)};
+        bool const may_be_call = this->local_executor.has_execution_past(now + duration{request.timeout_ms});
+        if (may_be_call && this->context.has_time_for(limit, now)) {
             return this->start_inferred_call(std::move(request), *matched, nullptr, now);
         }
     }
@@ -214,7 +231,8 @@
 
 void request_router::start_root_call(listener_request&& request, route const& matched,
                                      std::string const& organisation, time_point now) {
-    if (this->context.has_stopped_admitting(now)) {
+    auto const longest = expected_span(request, matched);
+    if (this->context.has_stopped_admitting(now) || !this->context.has_time_for(longest, now)) {
         return this->reject_request(request, result_code::leaving, now);
     }
     auto const trace = trace_context::from_header(request.traceparent);
@@ -871,6 +889,23 @@
         now);
 }
 
+void request_router::end_all(time_point now) {
+    std::vector<std::uint64_t> live;
+    for (auto const& [id, call] : this->calls) {
+        live.push_back(id);
+    }
+    for (auto const id : live) {
+        auto& call = this->calls.at(id);
+        bool const may_run = call.stage == pending_call::call_stage::in_flight || call.may_have_run;
+        this->cancel_attempt(call, now);
+        this->finish_call(call,
+                          {.result = may_run ? outcome::unknown : unsent_outcome(call),
+                           .code = may_run ? result_code::host_stopped : result_code::leaving,
+                           .retry_after_ms = may_run ? 0 : overload_retry_after_ms},
+                          now);
+    }
+}
+
 void request_router::run_periodic_tasks(time_point now) {
     for (auto const orphan : this->local_executor.take_orphaned_calls()) {
         this->cancel_call(orphan, now);
@@ -889,23 +924,6 @@
         auto& call = this->calls.at(id);
         this->cancel_attempt(call, now);
         this->finish_with_error(call, {result_code::deadline_passed}, now);
-void request_router::end_all(time_point now) {
-    std::vector<std::uint64_t> live;
-    for (auto const& [id, call] : this->calls) {
-        live.push_back(id);
-    }
-    for (auto const id : live) {
-        auto& call = this->calls.at(id);
-        bool const may_run = call.stage == pending_call::call_stage::in_flight || call.may_have_run;
-        this->cancel_attempt(call, now);
-        this->finish_call(call,
-                          {.result = may_run ? outcome::unknown : unsent_outcome(call),
-                           .code = may_run ? result_code::host_stopped : result_code::leaving,
-                           .retry_after_ms = may_run ? 0 : overload_retry_after_ms},
-                          now);
-    }
-}
-
     }
     for (auto const id : unsent) {
         auto const found = this->calls.find(id);
