--- a/tests/node/simulated_fleet.cpp
+++ b/tests/node/simulated_fleet.cpp
@@ -471,6 +471,17 @@
     }
 }
 
+void simulated_fleet::publish_configuration_at(std::string const& host, item_set const& items) {
+    this->configuration = make_bundle_or_throw(items, ++this->revision);
+    this->handle_event(*this->nodes.at(host),
+                       platform_document_event{document_kind::configuration, this->configuration});
+}
+
+std::uint64_t simulated_fleet::configuration_revision(std::string const& host) const {
+    auto const& entry = *this->nodes.at(host);
+    return entry.core == nullptr ? 0 : entry.core->status(false, this->clock)->configuration_revision;
+}
+
 std::vector<std::string> simulated_fleet::hosts() const {
     std::vector<std::string> names;
     for (auto const& [host, entry] : this->nodes) {
@@ -497,6 +508,10 @@
     return this->nodes.at(host)->core != nullptr;
 }
 
+bool simulated_fleet::is_paused(std::string const& host) const {
+    return this->clock < this->nodes.at(host)->paused_until;
+}
+
 void simulated_fleet::kill(std::string const& host) {
     auto& entry = *this->nodes.at(host);
     if (entry.core == nullptr) {
--- a/tests/node/simulated_fleet.hpp
+++ b/tests/node/simulated_fleet.hpp
@@ -87,6 +87,7 @@
     std::vector<std::string> hosts() const;
     std::vector<std::string> hosts_of(std::string const& service) const;
     bool is_alive(std::string const& host) const;
+    bool is_paused(std::string const& host) const;
     /// Whether the host's node reads the platform itself.
     bool reads_platform(std::string const& host) const;
 
@@ -111,6 +112,10 @@
     /// The same with these evacuated failure domains in place of the former ones.
     void evacuate(std::vector<std::string> const& domains);
     void publish_configuration(item_set const& items);
+    /// The same, but only this host reads it from the platform.
+    void publish_configuration_at(std::string const& host, item_set const& items);
+    /// The revision of the configuration that the host has in force; 0 when it is dead.
+    std::uint64_t configuration_revision(std::string const& host) const;
     std::vector<listed_host> const& listed_hosts() const { return this->list.hosts; }
 
     std::map<std::string, caller_result> const& answers() const { return this->caller_results; }
