--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -119,7 +119,9 @@
     def __init__(self, record: Record, ip: str):
         self.record, self.ip = record, ip
         self.items: dict[str, dict] = {}
-        self.history: list[dict] = []
+        self.history: list[tuple[float, int, str, str]] = []  # when, revision, key, the event as JSON
+        self.history_s = 20.0
+        self.discarded = 0  # the revision up to which the history is gone
         self.revision = 10
         self.changed = asyncio.Event()
         self.waiting: dict[asyncio.StreamWriter, float] = {}
@@ -134,14 +136,18 @@
         text = base64.b64encode(json.dumps(value).encode()).decode()
         self.items[key] = {"key": key, "value": text, "revision": self.revision,
                            "create-revision": known["create-revision"] if known else self.revision, "lease": 0}
-        self.history.append(self.items[key])
-        self.wake()
+        self.note(key, self.items[key])
 
     def remove(self, key: str) -> None:
         if self.items.pop(key, None) is None:
             return
         self.revision += 1
-        self.history.append({"key": key, "revision": self.revision, "tombstone": True})
+        self.note(key, {"key": key, "revision": self.revision, "tombstone": True})
+
+    def note(self, key: str, event: dict) -> None:
+        self.history.append((now(), self.revision, key, json.dumps(event)))
+        while self.history[0][0] < now() - self.history_s:
+            self.discarded = self.history.pop(0)[1]
         self.wake()
 
     def wake(self) -> None:
@@ -162,7 +168,8 @@
                 path, _, query = target.partition("?")
                 fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
                 status, content = await self.answer(path, fields, writer)
-                writer.write(http_answer(status, {"Content-Type": "application/json"}, json.dumps(content).encode()))
+                text = content if isinstance(content, str) else json.dumps(content)
+                writer.write(http_answer(status, {"Content-Type": "application/json"}, text.encode()))
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
             pass
@@ -182,11 +189,13 @@
         self.waiting[writer] = now()
         try:
             while True:
-                events = [event for event in self.history
-                          if event["revision"] > after and event["key"].startswith(prefix)]
+                if after < self.discarded:
+                    return 410, {}
+                events = [text for _, revision, key, text in self.history
+                          if revision > after and key.startswith(prefix)]
                 left = until - now()
                 if events or left <= 0:
-                    return 200, {"events": events, "store-revision": self.revision}
+                    return 200, f'{{"events":[{",".join(events)}],"store-revision":{self.revision}}}'
                 try:
                     await asyncio.wait_for(self.changed.wait(), left)
                 except asyncio.TimeoutError:
