review: Case 2, an answer that does not end fills a process's memory

Seen: the size line of a chunk that does not end is kept whole; the process exceeds its 260 MB within 2.5 s and is killed, and 12 orders that sound servers ran end without an answer. Cause: the buffer that answers are read into has no maximum, and the parser's limits do not count the size line of a chunk.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,105 +1,145 @@
-"""A machine is stopped (SIGTERM) while a client reads a large answer slowly.
+"""A faulty server sends bytes that are no answer: the size line of a chunk that doesn't end.
 
-The answer has been made by its server and handed over; the stopping process ends before the client has all of it.
+The process beside it keeps all of them in memory, exceeds the machine's limit and is killed. Orders that it had passed on to
+sound servers, for clients on kept connections, end without an answer.
 """
 
 import asyncio
 import pathlib
-import random
-import socket
+import re
+import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "standins"))
-from fleet import OUTBOUND, Fleet, call, main, new_id, now, request_text  # noqa: E402
+from fleet import OUTBOUND, Fleet, call, main, new_id, now, read_message, request_text  # noqa: E402
 
-HOST, KEY = "hulo84.example", "6wsjnbanfqasnmgkcuyj"
-ANSWER_BYTES = 4_000_000
-READ_S = 4.5  # a slow reader takes so long for the whole answer (7 Mbit/s)
-SLOW, FAST = 5, 5
+HOST, KEY = "jepu9.example", "6wsjnbanfqasnmgkcuyj"
+MEMORY_MB = 260  # `memory-mb` of the site's machines
+BYTES_PER_S = 100_000_000  # a link has 1,000 Mbit/s
+ORDER_CLIENTS, ORDER_WORK_S = 12, 0.3
 DEADLINE_MS, TIMEOUT_MS = 6000, 6000
-GRACE_S = 6.0  # bound `grace-s`
-
-
-async def read_slowly(record, machine, path):
-    """Sends a request whole and reads its answer at an even pace; returns (id, bytes of the body, sent, ended)."""
-    loop = asyncio.get_running_loop()
-    identity = new_id()
-    client = socket.socket()
-    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
-    client.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1400)  # as on an ordinary network
-    client.setblocking(False)
-    await loop.sock_connect(client, (machine.ip, OUTBOUND))
-    sent = now()
-    await loop.sock_sendall(client, request_text("GET", path, HOST, identity, DEADLINE_MS, KEY))
-    record.add("sent", id=identity, machine=machine.name, path=path, reader="slow")
-    received, length, head = b"", None, b""
-    step = 0.05
-    pace = int(ANSWER_BYTES / READ_S * step)
-    try:
-        while now() - sent < DEADLINE_MS / 1000:
-            part = await asyncio.wait_for(loop.sock_recv(client, pace), 1.0)
-            if not part:
+
+
+async def order_client(record, machine, number, stop, ends):
+    """Sends orders one after the other on a kept connection; notes each connection that ends without an answer."""
+    count = 0
+    while not stop.is_set():
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(machine.ip, OUTBOUND), 1.0)
+        except (OSError, asyncio.TimeoutError):
+            await asyncio.sleep(0.2)
+            continue
+        on_connection = 0
+        while not stop.is_set():
+            count += 1
+            identity = new_id()
+            writer.write(request_text("POST", f"/order/{number}-{count}", HOST, identity, DEADLINE_MS, KEY, b"x" * 300))
+            record.add("sent", id=identity, machine=machine.name, path=f"/order/{number}-{count}")
+            try:
+                message = await asyncio.wait_for(read_message(reader), DEADLINE_MS / 1000)
+            except (OSError, asyncio.TimeoutError):
+                message = None
+            record.add("answered", id=identity, status=message[0].split(" ")[1] if message else "none")
+            if message is None:
+                ends.append((identity, on_connection))
                 break
-            received += part
-            if length is None and b"\r\n\r\n" in received:
-                head, _, received = received.partition(b"\r\n\r\n")
-                fields = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:])
-                length = int(fields[b"content-length"])
-            if length is not None and len(received) >= length:
+            on_connection += 1
+            if message[1].get("connection", "").lower() == "close":
+                break
+        writer.close()
+
+
+def make_faulty(server, record):
+    """Every answer for a path below /quote/spoilt is spoilt from now on; all others are sound."""
+
+    async def serve(reader, writer):
+        server.writers.add(writer)
+        while True:
+            message = await read_message(reader)
+            if message is None:
+                return writer.close()
+            line, headers, body = message
+            if line.split(" ")[1].startswith("/quote/spoilt"):
                 break
-            await asyncio.sleep(step * len(part) / pace)
-    except (OSError, asyncio.TimeoutError) as error:
-        record.add("error", id=identity, error=repr(error).replace(" ", "_"))
-    ended = now()
-    client.close()
-    status = int(head.split(b" ")[1]) if head else 0
-    record.add("answered", id=identity, status=status, bytes=len(received), of=length,
-               complete=length is not None and len(received) == length, after_s=f"{ended - sent:.3f}")
-    return identity, status, len(received), length, sent, ended
+            writer.write(await server.run(line, headers, body))
+            await writer.drain()
+        identity, began, sent = headers.get("request-id", ""), now(), 0
+        record.add("run", server=server.id, machine=server.machine.name, id=identity, path=line.split(" ")[1])
+        try:
+            writer.write(f"HTTP/1.1 200 OK\r\nRequest-Id: {identity}\r\nServer-Seal: seal.{identity}\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n5;".encode())
+            while now() - began < 20:
+                writer.write(b"a" * 65536)
+                await writer.drain()
+                sent += 65536
+                await asyncio.sleep(max(0.0, sent / BYTES_PER_S - (now() - began)))
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            record.add("closed", id=identity, bytes=sent, after_s=f"{now() - began:.3f}")
+            server.writers.discard(writer)
+            writer.close()
+
+    return serve
 
 
 async def case(record, trouble):
-    fleet = Fleet(record, [("records", "arusha-a"), ("records", "arusha-b"), ("quoting", "arusha-a"),
-                           ("quoting", "arusha-c")])
+    fleet = Fleet(record, [("dispatch", "arusha-a"), ("dispatch", "arusha-b"), ("quoting", "arusha-a"),
+                           ("records", "arusha-b")])
     try:
         await fleet.store.open()
+        common = {"host": HOST, "timeout-ms": TIMEOUT_MS, "target-latency-ms": 1500, "max-attempts": 1, "public": False}
         fleet.configure(
-            [{"name": "r-history", "host": HOST, "prefix": "/history/", "kind": "download", "timeout-ms": TIMEOUT_MS,
-              "target-latency-ms": 1500, "priority": 2, "service": "records", "max-attempts": 2, "public": False}],
+            [{"name": "r-order", "prefix": "/order/", "kind": "unsafe", "priority": 0, "service": "dispatch", **common},
+             {"name": "r-quote", "prefix": "/quote/", "kind": "safe", "priority": 2, "service": "quoting", **common}],
             [{"name": "camp", "api-keys": [KEY], "priority": 1, "rate-per-s": 400, "burst": 400}])
-        whole = random.randbytes(ANSWER_BYTES)
         for machine in fleet.machines:
-            machine.server.work_s = lambda path: 0.048
-            machine.server.body = lambda path: whole
+            machine.server.work_s = lambda path: ORDER_WORK_S if path.startswith("/order/") else 0.02
+        faulty = fleet.machines[2]
+        faulty.server.serve = make_faulty(faulty.server, record)
         await fleet.start()
-        entry = fleet.machines[2]
-        quick = [asyncio.create_task(call(record, entry, "GET", f"/history/f{n}", HOST, KEY, DEADLINE_MS))
-                 for n in range(FAST)]
-        slow = [asyncio.create_task(read_slowly(record, entry, f"/history/s{n}")) for n in range(SLOW)]
-        await asyncio.sleep(0.5)  # all have been run by their servers by now
-        signalled = now()
-        stopping = asyncio.create_task(entry.stop_as_platform(GRACE_S)) if trouble else None
-        results = await asyncio.gather(*slow)
-        quick_answers = await asyncio.gather(*quick)
-        exit_s = None
-        if stopping:
-            await stopping
-            exit_s = now() - signalled
-        runs = {run["id"]: run for machine in fleet.machines for run in machine.server.runs}
-        broken = []
-        for identity, status, size, length, sent, ended in results:
-            run = runs.get(identity)
-            finished = run is not None and run["end"] is not None and run["end"] < signalled
-            in_time = ended - sent < min(DEADLINE_MS, TIMEOUT_MS) / 1000
-            if finished and in_time and (length is None or size < length):
-                broken.append(identity)
-                record.add("broken", id=identity, status=status, bytes=size, of=length,
-                           after_sigterm_s=f"{ended - signalled:.3f}")
-        whole_quick = sum(answer.complete and answer.status == 200 for answer in quick_answers)
-        summary = (f"{whole_quick} of {FAST} quick readers and {SLOW - len(broken)} of {SLOW} slow readers got the whole "
-                   f"answer; the servers had finished all {len(runs)} runs before SIGTERM"
-                   + (f"; cut after {min(r[5] for r in results) - signalled:.2f} s" if broken else ""))
-        return not broken, summary
+        stop, ends, kills = asyncio.Event(), [], []
+        most = 0.0
+
+        async def platform():
+            """Kills a process that exceeds its memory, and starts it again after a short delay."""
+            nonlocal most
+            while not stop.is_set():
+                for machine in fleet.machines:
+                    if machine.process.poll() is None:
+                        text = pathlib.Path(f"/proc/{machine.process.pid}/status").read_text()
+                        found = re.search(r"VmRSS:\s+(\d+) kB", text)
+                        used = int(found[1]) / 1024 if found else 0.0
+                        most = max(most, used)
+                        if used > MEMORY_MB:
+                            machine.signal(signal.SIGKILL)
+                            machine.process.wait()
+                            kills.append(machine.name)
+                            record.add("killed", machine=machine.name, resident_mb=f"{used:.0f}")
+                            await asyncio.sleep(0.5)
+                            machine.start()
+                await asyncio.sleep(0.02)
+
+        watcher = asyncio.create_task(platform())
+        orders = [asyncio.create_task(order_client(record, faulty, number, stop, ends)) for number in range(ORDER_CLIENTS)]
+        quotes = []
+        # 50 quotes at the machine of the faulty server, of which one answer is spoilt (share x = 0.02).
+        for number in range(50):
+            kind = "spoilt" if trouble and number == 25 else "sound"
+            quotes.append(asyncio.create_task(
+                call(record, faulty, "GET", f"/quote/{kind}{number}", HOST, KEY, DEADLINE_MS)))
+            await asyncio.sleep(0.1)
+        await asyncio.gather(*quotes)
+        await asyncio.sleep(1.0)
+        stop.set()
+        await asyncio.gather(watcher, *orders)
+        runs = {run["id"]: run for machine in fleet.machines[:2] for run in machine.server.runs}
+        lost = [identity for identity, before in ends if identity in runs and before > 0]
+        for identity in lost:
+            record.add("lost", id=identity, run_finished=runs[identity]["end"] is not None)
+        return len(lost) <= 3, (
+            f"most memory of a process {most:.0f} MB of {MEMORY_MB}; killed over the limit: {kills}; orders that a sound server "
+            f"ran and whose kept connection ended without an answer: {len(lost)}")
     finally:
         fleet.stop()
 
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -114,10 +114,10 @@
 
 
 class Store:
-    """The platform's metadata store."""
+    """The platform's metadata store. It listens at an address for each machine, to tell their calls apart."""
 
-    def __init__(self, record: Record, ip: str):
-        self.record, self.ip = record, ip
+    def __init__(self, record: Record, ips: list[str]):
+        self.record, self.ips = record, ips
         self.items: dict[str, dict] = {}
         self.history: list[tuple[float, int, str, str]] = []  # when, revision, key, the event as JSON
         self.history_s = 20.0
@@ -125,10 +125,12 @@
         self.revision = 10
         self.changed = asyncio.Event()
         self.waiting: dict[asyncio.StreamWriter, float] = {}
+        self.turned_away: set[str] = set()  # the store's addresses for the machines that get 503
+        self.callers: dict[str, float] = {}  # when each of its addresses was called last
         self.listener = None
 
     async def open(self) -> None:
-        self.listener = await asyncio.start_server(self.serve, self.ip, STORE)
+        self.listener = await asyncio.start_server(self.serve, self.ips, STORE)
 
     def put(self, key: str, value: dict) -> None:
         self.revision += 1
@@ -167,7 +169,13 @@
                 target = message[0].split(" ")[1]
                 path, _, query = target.partition("?")
                 fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
-                status, content = await self.answer(path, fields, writer)
+                caller = writer.get_extra_info("sockname")[0]
+                self.callers[caller] = now()
+                if caller in self.turned_away:
+                    self.record.add("refused", store=path, caller=caller)
+                    status, content = 503, {}
+                else:
+                    status, content = await self.answer(path, fields, writer)
                 text = content if isinstance(content, str) else json.dumps(content)
                 writer.write(http_answer(status, {"Content-Type": "application/json"}, text.encode()))
                 await writer.drain()
@@ -291,6 +299,7 @@
 
     def __init__(self, fleet: "Fleet", name: str, ip: str, service: str, zone: str):
         self.fleet, self.name, self.ip, self.service, self.zone = fleet, name, ip, service, zone
+        self.store_ip = fleet.store.ips[int(ip.rsplit(".", 1)[1]) - 1]
         self.process: subprocess.Popen | None = None
         self.server = Server(fleet.record, fleet.store, self)
 
@@ -351,7 +360,7 @@
         self.prefix = self.free_prefix(len(machines))
         self.region = region
         self.zones = {zone: region for zone in sorted({zone for _, zone in machines})}
-        self.store = Store(record, f"{self.prefix}.250")
+        self.store = Store(record, [f"{self.prefix}.{101 + index}" for index in range(len(machines))])
         self.machines = [Machine(self, f"m{index + 1}", f"{self.prefix}.{index + 1}", service, zone)
                          for index, (service, zone) in enumerate(machines)]
 
@@ -360,7 +369,7 @@
         for _ in range(100):
             prefix = f"127.{random.randint(64, 223)}.{random.randint(1, 250)}"
             try:
-                for host in [*range(1, count + 1), 250]:
+                for host in [*range(1, count + 1), *range(101, count + 101)]:
                     for port in (7000, 7001, OUTBOUND, READY, APP, STORE):
                         with socket.socket() as probe:
                             probe.bind((f"{prefix}.{host}", port))
@@ -377,7 +386,7 @@
                            "ready": f"{machine.ip}:{READY}"},
                 "internal-port-range": [7000, 7015], "seeds": [], "bootstrap": True, "heartbeat-ms": 1500,
                 "bounds": self.BOUNDS, "app-addr": f"{machine.ip}:{APP}", "service": machine.service,
-                "platform": {"address": f"{self.store.ip}:{STORE}", "form": "read"}}
+                "platform": {"address": f"{machine.store_ip}:{STORE}", "form": "read"}}
 
     def configure(self, routes: list[dict], tenants: list[dict], version: int = 7) -> None:
         services = sorted({machine.service for machine in self.machines})
