--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -482,6 +482,7 @@
     """Runs a case: `case(record, trouble)` returns whether the rule held."""
     record = Record(pathlib.Path(folder))
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the processes that were started are ended then, too
     try:
         held, summary = asyncio.run(asyncio.wait_for(case(record, trouble), 110))
     except (CannotRun, asyncio.TimeoutError, OSError) as error:
