review: Case 2, stay within the share of faulty servers

Seen: the case had one server in its service, so all of them were faulty; the site's share is 0.35. Now one of three is, and one of its first fifty answers.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -49,8 +49,9 @@
         writer.close()
 
 
-def make_faulty(server, record):
-    """Every answer for a path below /quote/spoilt is spoilt from now on; all others are sound."""
+def make_faulty(server, record, spoils):
+    """Of its first fifty answers the server spoils the 26th; all others are sound."""
+    server.answers, server.spoils = 0, spoils
 
     async def serve(reader, writer):
         server.writers.add(writer)
@@ -59,7 +60,8 @@
             if message is None:
                 return writer.close()
             line, headers, body = message
-            if line.split(" ")[1].startswith("/quote/spoilt"):
+            server.answers += 1
+            if server.answers == 26 and server.spoils:
                 break
             writer.write(await server.run(line, headers, body))
             await writer.drain()
@@ -85,7 +87,7 @@
 
 async def case(record, trouble):
     fleet = Fleet(record, [("dispatch", "arusha-a"), ("dispatch", "arusha-b"), ("quoting", "arusha-a"),
-                           ("records", "arusha-b")])
+                           ("quoting", "arusha-b"), ("quoting", "arusha-c")])
     try:
         await fleet.store.open()
         common = {"host": HOST, "timeout-ms": TIMEOUT_MS, "target-latency-ms": 1500, "max-attempts": 1, "public": False}
@@ -96,7 +98,7 @@
         for machine in fleet.machines:
             machine.server.work_s = lambda path: ORDER_WORK_S if path.startswith("/order/") else 0.02
         faulty = fleet.machines[2]
-        faulty.server.serve = make_faulty(faulty.server, record)
+        faulty.server.serve = make_faulty(faulty.server, record, trouble)
         await fleet.start()
         stop, ends, kills = asyncio.Event(), [], []
         most = 0.0
@@ -123,12 +125,14 @@
         watcher = asyncio.create_task(platform())
         orders = [asyncio.create_task(order_client(record, faulty, number, stop, ends)) for number in range(ORDER_CLIENTS)]
         quotes = []
-        # 50 quotes at the machine of the faulty server, of which one answer is spoilt (share x = 0.02).
-        for number in range(50):
-            kind = "spoilt" if trouble and number == 25 else "sound"
+        # Share x = 0.02: the faulty server gives fifty answers or more, of which one is spoilt.
+        until = now() + 25
+        while faulty.server.answers < 55 and now() < until:
             quotes.append(asyncio.create_task(
-                call(record, faulty, "GET", f"/quote/{kind}{number}", HOST, KEY, DEADLINE_MS)))
+                call(record, faulty, "GET", f"/quote/{len(quotes)}", HOST, KEY, DEADLINE_MS)))
             await asyncio.sleep(0.1)
+        if faulty.server.answers < 50:
+            raise OSError("the faulty server gave too few answers for the share")
         await asyncio.gather(*quotes)
         await asyncio.sleep(1.0)
         stop.set()
@@ -138,7 +142,7 @@
         for identity in lost:
             record.add("lost", id=identity, run_finished=runs[identity]["end"] is not None)
         return len(lost) <= 3, (
-            f"most memory of a process {most:.0f} MB of {MEMORY_MB}; killed over the limit: {kills}; orders that a sound server "
+            f"{faulty.server.answers} answers of the faulty server; most memory of a process {most:.0f} MB of {MEMORY_MB}; killed over the limit: {kills}; orders that a sound server "
             f"ran and whose kept connection ended without an answer: {len(lost)}")
     finally:
         fleet.stop()
