review: Case 4, answer the waiting watches of machines that are turned away

Seen: their connections were reset, which could be read as lost answers, and these end the outer bound. They get 503 now.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -38,9 +38,7 @@
             raise OSError(f"not as many readers as the share allows: {names}")
         if trouble:
             fleet.store.turned_away = {machine.store_ip for machine in readers}
-            for writer in list(fleet.store.waiting):  # their waiting watches are cut, as any may be
-                if writer.get_extra_info("sockname")[0] in fleet.store.turned_away:
-                    writer.transport.abort()
+            fleet.store.wake()  # their waiting watches get 503 as well
             record.add("away", machines=",".join(names), for_s=AWAY_S)
         began = now()
         await asyncio.sleep(0.5)
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -197,6 +197,8 @@
         self.waiting[writer] = now()
         try:
             while True:
+                if writer.get_extra_info("sockname")[0] in self.turned_away:
+                    return 503, {}
                 if after < self.discarded:
                     return 410, {}
                 events = [text for _, revision, key, text in self.history
