node: Keep the link to a host that leaves the list until the work on it has ended

Cause: the host list decided two things, who gets new work and how long a link lasts. peer_table closed the links to each host that a new list did not name, or named at another address, and the loss of a link ends the requests under way on it at both ends. In large fleets a link that nobody had asked for in 30 s was closed in the same way. A ticket that was sent again counted its host as gone as soon as the list did not name it.

Change: the list decides who gets new work. A link that is no longer needed is closed when no request in either direction awaits its answer on it; deadlines and pings bound that. New work never takes a link to a former address.

--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -660,6 +660,13 @@
     }
 }
 
+bool executor::has_waiter_on(connection_id connection) const {
+    return std::ranges::any_of(this->executions, [connection](auto const& entry) {
+        return std::ranges::find(entry.second.waiters, connection, &execution::reply_address::connection) !=
+               entry.second.waiters.end();
+    });
+}
+
 void executor::on_connection_lost(connection_id connection, time_point now) {
     std::vector<std::uint64_t> abandoned;
     for (auto& [id, work] : this->executions) {
--- a/libraries/node/executor.hpp
+++ b/libraries/node/executor.hpp
@@ -72,6 +72,8 @@
     void cancel(std::string const& from, std::uint64_t call_id, time_point now);
     /// Nobody waits at the other end of the connection any more; its host has given up what it sent on it.
     void on_connection_lost(connection_id connection, time_point now);
+    /// Whether a request that arrived on the connection awaits its answer.
+    bool has_waiter_on(connection_id connection) const;
     void on_target_answer(target_answer&& answer, time_point now);
     void run_periodic_tasks(time_point now);
 
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -462,7 +462,11 @@
     if (now >= this->next_peer_tasks) {
         this->next_peer_tasks = now + peer_task_interval;
         this->observe_readers(now);
-        for (auto const connection : this->context.peers.maintain_links(this->own_report(now), now)) {
+        auto const has_work = [this](connection_id connection) {
+            return this->router.has_call_on(connection) || this->local_executor.has_waiter_on(connection);
+        };
+        for (auto const connection :
+             this->context.peers.maintain_links(this->own_report(now), has_work, now)) {
             this->context.node_metrics.increment_counter("links_silent");
             this->local_executor.on_connection_lost(connection, now);
             this->router.on_connection_lost(connection, now);
--- a/libraries/node/peer_table.cpp
+++ b/libraries/node/peer_table.cpp
@@ -76,22 +76,12 @@
     for (auto const& entry : hosts) {
         auto& peer = this->peers[entry.host];
         if (peer.info.entry.link != entry.link) {
-            for (auto const& link : peer.dialled_links) {
-                this->out.closes.push_back(link.connection);
-            }
             peer.next_dial = now;
         }
         peer.info.entry = entry;
         peer.info.target = make_target_id(entry.host, entry.instance, entry.started_ms);
         peer.info.listed = true;
     }
-    for (auto& [name, peer] : this->peers) {
-        if (!peer.info.listed) {
-            for (auto const& link : peer.dialled_links) {
-                this->out.closes.push_back(link.connection);
-            }
-        }
-    }
     std::erase_if(this->peers, [](auto const& entry) {
         return !entry.second.info.listed && entry.second.dialled_links.empty() &&
                entry.second.accepted_connections.empty();
@@ -225,7 +215,8 @@
 }
 
 void peer_table::dial(std::string const& name, peer_state& peer, time_point now) {
-    link_state link{.connection = this->next_connection++, .dialled_at = now};
+    link_state link{
+        .connection = this->next_connection++, .address = peer.info.entry.link, .dialled_at = now};
     this->hosts_by_connection[link.connection] = name;
     this->out.dials.push_back({link.connection, peer.info.entry.link});
     peer.dialled_links.push_back(link);
@@ -257,7 +248,7 @@
             if (too_long) {
                 unresponsive.push_back(link.connection);
             }
-            has_opening_link = has_opening_link || !too_long;
+            has_opening_link = has_opening_link || (!too_long && !is_superseded(peer, link));
             continue;
         }
         bool const awaits_pong = link.unanswered_ping_sent_at.milliseconds > 0;
@@ -265,8 +256,8 @@
             unresponsive.push_back(link.connection);
             continue;
         }
-        has_healthy_link =
-            has_healthy_link || !awaits_pong || now - link.unanswered_ping_sent_at < suspect_timeout;
+        bool const is_healthy = !awaits_pong || now - link.unanswered_ping_sent_at < suspect_timeout;
+        has_healthy_link = has_healthy_link || (is_healthy && !is_superseded(peer, link));
         bool const is_unanswered = link.last_message_sent_at > link.last_received_at;
         auto const idle_interval = this->neighbours.contains(name) ? idle_ping_interval : rare_ping_interval;
         auto const interval = is_unanswered ? unanswered_message_ping_interval : idle_interval;
@@ -281,17 +272,25 @@
     if (needs_dial) {
         this->dial(name, peer, now);
     }
-    if (!this->needs_link(name, peer, now)) {
-        for (auto const& link : peer.dialled_links) {
+}
+
+void peer_table::close_unneeded_links(std::string const& name, peer_state const& peer,
+                                      connection_usage const& has_work, time_point now) {
+    bool const needs_host = this->needs_link(name, peer, now);
+    for (auto const& link : peer.dialled_links) {
+        bool const is_needed = needs_host && !is_superseded(peer, link);
+        if (!is_needed && !has_work(link.connection)) {
             this->out.closes.push_back(link.connection);
         }
     }
 }
 
-std::vector<connection_id> peer_table::maintain_links(host_report const& own_report, time_point now) {
+std::vector<connection_id> peer_table::maintain_links(host_report const& own_report,
+                                                      connection_usage const& has_work, time_point now) {
     std::vector<connection_id> unresponsive;
     for (auto& [name, peer] : this->peers) {
         this->maintain_peer(name, peer, own_report, now, unresponsive);
+        this->close_unneeded_links(name, peer, has_work, now);
     }
     for (auto const connection : unresponsive) {
         this->out.closes.push_back(connection);
@@ -299,11 +298,16 @@
     return unresponsive;
 }
 
+bool peer_table::is_superseded(peer_state const& peer, link_state const& link) {
+    return link.address != peer.info.entry.link;
+}
+
 connection_id peer_table::best_connection(peer_state const& peer) const {
     connection_id best = 0;
     double newest = -1;
     for (auto const& link : peer.dialled_links) {
-        if (link.open && link.answered_ping_sent_at.milliseconds > newest) {
+        bool const is_usable = link.open && !is_superseded(peer, link);
+        if (is_usable && link.answered_ping_sent_at.milliseconds > newest) {
             best = link.connection;
             newest = link.answered_ping_sent_at.milliseconds;
         }
--- a/libraries/node/peer_table.hpp
+++ b/libraries/node/peer_table.hpp
@@ -30,6 +30,9 @@
     bool reports_leaving{false};
 };
 
+/// Whether a request that was sent on the connection, in either direction, awaits its answer.
+using connection_usage = std::function<bool(connection_id)>;
+
 class peer_table {
 public:
     peer_table(std::string own_host, std::string own_domain, effects& output);
@@ -44,7 +47,8 @@
         }
     }
 
-    /// Applies a new host list and closes the connections dialled to hosts that are no longer on it.
+    /// Applies a new host list. It decides which hosts may get new work; a connection to a host that is no
+    /// longer listed, or has another address, stays open until `maintain_links` finds no work on it.
     void update_hosts(std::vector<listed_host> const& hosts, time_point now);
 
     /// False when the remote host is not the one that was dialled; the connection is then closed.
@@ -60,9 +64,10 @@
     void on_pong(std::string const& host, connection_id connection, pong_message const& pong, time_point now);
     void on_report(std::string const& host, host_report const& report, time_point now);
 
-    /// Dials hosts, sends pings, and closes connections that are unresponsive or no longer needed. Returns
-    /// the unresponsive ones.
-    std::vector<connection_id> maintain_links(host_report const& own_report, time_point now);
+    /// Dials hosts, sends pings, and closes connections that are unresponsive, or that are no longer needed
+    /// and on which `has_work` finds nothing under way. Returns the unresponsive ones.
+    std::vector<connection_id> maintain_links(host_report const& own_report, connection_usage const& has_work,
+                                              time_point now);
 
     /// Sends on the preferred connection if it is known, else on the best one; false when there is none. The
     /// connection used is stored in `used`.
@@ -91,6 +96,7 @@
 private:
     struct link_state {
         connection_id connection{0};
+        std::string address; ///< Where it was dialled.
         bool open{false};
         time_point dialled_at;
         time_point answered_ping_sent_at;   ///< When the newest answered ping was sent.
@@ -119,8 +125,12 @@
     void dial(std::string const& host, peer_state& peer, time_point now);
     void maintain_peer(std::string const& host, peer_state& peer, host_report const& own_report,
                        time_point now, std::vector<connection_id>& unresponsive);
+    void close_unneeded_links(std::string const& host, peer_state const& peer,
+                              connection_usage const& has_work, time_point now);
     void ping(link_state& link, host_report const& own_report, time_point now);
     bool needs_link(std::string const& host, peer_state const& peer, time_point now) const;
+    /// Whether the link leads to an address that the host list has replaced since.
+    static bool is_superseded(peer_state const& peer, link_state const& link);
     connection_id best_connection(peer_state const& peer) const;
     /// Whether no link to the host answers pings in time.
     static bool is_silent(peer_state const& peer, time_point now);
--- a/libraries/node/request_router.cpp
+++ b/libraries/node/request_router.cpp
@@ -480,7 +480,7 @@
         return call.parsed_ticket->incarnation != this->context.incarnation;
     }
     auto const* peer = this->context.peers.find(call.parsed_ticket->host);
-    return peer == nullptr || !peer->listed ||
+    return peer == nullptr || (!peer->listed && !this->context.peers.is_connected(peer->entry.host)) ||
            (peer->has_report && peer->report.incarnation != call.parsed_ticket->incarnation);
 }
 
@@ -685,11 +685,21 @@
     this->dispatch(call, now);
 }
 
+bool request_router::is_under_way_on(pending_call const& call, connection_id connection) const {
+    return call.stage == pending_call::call_stage::in_flight && call.connection == connection &&
+           connection != 0 && call.attempt_host != this->context.options.host;
+}
+
+bool request_router::has_call_on(connection_id connection) const {
+    return std::ranges::any_of(this->calls, [this, connection](auto const& entry) {
+        return this->is_under_way_on(entry.second, connection);
+    });
+}
+
 void request_router::on_connection_lost(connection_id connection, time_point now) {
     std::vector<std::uint64_t> affected;
     for (auto const& [id, call] : this->calls) {
-        if (call.stage == pending_call::call_stage::in_flight && call.connection == connection &&
-            connection != 0 && call.attempt_host != this->context.options.host) {
+        if (this->is_under_way_on(call, connection)) {
             affected.push_back(id);
         }
     }
--- a/libraries/node/request_router.hpp
+++ b/libraries/node/request_router.hpp
@@ -70,6 +70,8 @@
     void on_answer(std::string const& from, answer_message&& answer, time_point now);
     /// Resends, retries or finishes every call that was in flight on the connection.
     void on_connection_lost(connection_id connection, time_point now);
+    /// Whether a call that was sent to another host on the connection awaits its answer.
+    bool has_call_on(connection_id connection) const;
     /// Cancels a call that its caller, or the request it was made for, no longer needs.
     void cancel_call(std::uint64_t call, time_point now);
     /// Answers every request that is live, because the node stops: as not run where nothing was sent, else
@@ -118,7 +120,9 @@
     void refuse_for_rate(pending_call& call, time_point now);
     bool acquire_per_host_token(std::string const& organisation, time_point now);
     void dispatch(pending_call& call, time_point now);
-    /// Whether the incarnation that the ticket is bound to has ended or left the host list.
+    bool is_under_way_on(pending_call const& call, connection_id connection) const;
+    /// Whether the incarnation that the ticket is bound to has ended, or has left the host list and can't be
+    /// reached any more.
     bool is_ticket_host_gone(pending_call const& call) const;
     void send_attempt(pending_call& call, std::string const& host, time_point now);
     /// Spends one retry of the call's allowance and of the organisation's and the service's budgets. False
--- a/tests/node/peer_table_test.cpp
+++ b/tests/node/peer_table_test.cpp
@@ -14,20 +14,27 @@
 constexpr auto near_link = "127.0.0.1:7001";
 constexpr auto far_link = "127.0.0.1:7002";
 
+listed_host const near_host{.host = "near", .failure_domain = "a", .service = "leaf", .link = near_link};
+listed_host const far_host{.host = "far", .failure_domain = "b", .service = "leaf", .link = far_link};
+
 /// A node with links to the hosts "near" and "far", which answer pings unless they are cut off.
 class linked_peers {
 public:
     linked_peers() : table("self", "a", out) {
-        this->table.update_hosts(
-            {{.host = "near", .failure_domain = "a", .service = "leaf", .link = near_link},
-             {.host = "far", .failure_domain = "b", .service = "leaf", .link = far_link}},
-            this->now);
+        this->list({near_host, far_host});
         this->run_for({100});
     }
 
+    void list(std::vector<listed_host> const& hosts) { this->table.update_hosts(hosts, this->now); }
+    void set_work_under_way(bool is_under_way) { this->has_work = is_under_way; }
+    std::size_t open_links(std::string const& host) const {
+        return static_cast<std::size_t>(std::ranges::count(this->open, host, &link_entry::host));
+    }
+
     void run_for(duration span) {
         for (auto const end = this->now + span; this->now < end; this->now = this->now + duration{50}) {
-            this->table.maintain_links({}, this->now);
+            this->table.maintain_links(
+                {}, [this](connection_id) { return this->has_work; }, this->now);
             this->deliver();
         }
     }
@@ -53,9 +60,11 @@
         auto const pending = std::exchange(this->out, {});
         for (auto const connection : pending.closes) {
             this->table.on_closed(connection);
+            std::erase_if(this->open,
+                          [connection](link_entry const& link) { return link.connection == connection; });
         }
         for (auto const& dial : pending.dials) {
-            auto const* host = dial.address == far_link ? "far" : "near";
+            auto const* host = dial.address == near_link ? "near" : "far";
             if (host == this->cut_off) {
                 continue;
             }
@@ -90,6 +99,7 @@
     time_point now{1000};
     std::vector<link_entry> open;
     std::string cut_off;
+    bool has_work{false}; ///< On every link.
 };
 
 using names = std::vector<std::string>;
@@ -115,3 +125,41 @@
     peers.run_for({450});
     CHECK(peers.offered("a") == names{"far"});
 }
+
+// The host list ended the requests under way on a link: it says who gets new work, not how long a link lasts.
+TEST_CASE("a link to a host that has left the list is closed after the last work on it") {
+    linked_peers peers;
+    peers.set_work_under_way(true);
+    peers.list({near_host});
+    peers.run_for({5000});
+    CHECK(peers.open_links("far") == 1);
+    CHECK(peers.offered() == names{"near"});
+    peers.set_work_under_way(false);
+    peers.run_for({100});
+    CHECK(peers.open_links("far") == 0);
+    CHECK(peers.open_links("near") == 1);
+}
+
+TEST_CASE("a link to a host that has left the list and does not answer is closed with work on it") {
+    linked_peers peers;
+    peers.set_work_under_way(true);
+    peers.list({near_host});
+    peers.cut("far");
+    peers.send("far");
+    peers.run_for({1300});
+    CHECK(peers.open_links("far") == 0);
+}
+
+TEST_CASE("a host that is listed at another address gets new work there, and its former link ends its own") {
+    linked_peers peers;
+    peers.set_work_under_way(true);
+    auto moved = far_host;
+    moved.link = "127.0.0.1:7003";
+    peers.list({near_host, moved});
+    peers.run_for({300});
+    CHECK(peers.open_links("far") == 2);
+    CHECK(peers.offered() == names{"far", "near"});
+    peers.set_work_under_way(false);
+    peers.run_for({100});
+    CHECK(peers.open_links("far") == 1);
+}
