http: Limit the bytes that a connection holds before they are parsed

Callers saw: connections that ended without an answer, when the process beside a faulty target was killed for its memory.

Cause: the parser limits the header and the body. The line before a chunk and the trailer are in neither, the parser needs them whole, and the buffer in front of it had no maximum. Requests were read in the same way.

Ruled out: endless headers, chunks and bodies, bytes that are no HTTP (refused by the parser's limits; the tests cover them); links (frames have a limit).

Change: the buffers of target connections and of listener sessions have a maximum, which holds for every part of a message. An answer over it is malformed: outcome unknown, connection closed.

--- a/libraries/http/http_session.cpp
+++ b/libraries/http/http_session.cpp
@@ -24,6 +24,9 @@
 constexpr std::size_t max_read_ahead_bytes = 65'536;
 /// Most bytes that are discarded after the last answer; more than callers commonly have in transit.
 constexpr std::size_t max_linger_bytes = 2'097'152;
+/// Most bytes that a connection holds unparsed, unless the limit of the header is larger. The parser limits
+/// the header and the body, but neither the line before a chunk nor the trailer, which it needs whole.
+constexpr std::size_t min_read_buffer_bytes = max_read_ahead_bytes + linger_chunk_bytes;
 /// Time for the peer to close the connection after the last answer.
 constexpr duration linger_timeout{2000};
 
@@ -97,6 +100,7 @@
 
 http_session::http_session(http_listener& owner, boost::asio::ip::tcp::socket socket)
     : listener(owner), open_connections(owner.open_connections), stream(std::move(socket)),
+      buffer(std::max(min_read_buffer_bytes, owner.options.max_header)),
       last_activity(monotonic_clock::now()) {
     ++*this->open_connections;
     boost::system::error_code ignored;
--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -38,6 +38,9 @@
 constexpr std::size_t max_idle_connections = 4096;
 /// A connection with more refusals is not reused.
 constexpr std::size_t max_refused_ids = 64;
+/// Most bytes that a connection holds unparsed, unless the limit of the header is larger. The parser limits
+/// the header and the body, but neither the line before a chunk nor the trailer, which it needs whole.
+constexpr std::size_t min_read_buffer_bytes = 65'536;
 /// With fewer calls in progress, a request opens a connection at once: none is likely to become free in time.
 constexpr std::size_t min_calls_to_wait = 4;
 
@@ -45,7 +48,8 @@
 
 class target_connection {
 public:
-    explicit target_connection(asio::io_context& context) : stream(context) {}
+    target_connection(asio::io_context& context, target_client_settings const& options)
+        : stream(context), buffer(std::max(min_read_buffer_bytes, options.max_header)) {}
 
     /// Whether the target has neither closed the connection nor sent unsolicited bytes.
     bool is_usable() {
@@ -144,7 +148,7 @@
         if (!this->has_time_left()) {
             return this->finish_too_late();
         }
-        this->connection = std::make_unique<target_connection>(this->client.context);
+        this->connection = std::make_unique<target_connection>(this->client.context, this->client.options);
         this->set_timeout(std::min(this->answer_time_left(), connect_timeout));
         this->connection->stream.async_connect(
             this->client.target_endpoint(),
@@ -272,7 +276,7 @@
     /// After a lost answer, checks whether a process still listens at the target's address. If so, the new
     /// connection is kept for the next request.
     void probe_target() {
-        this->connection = std::make_unique<target_connection>(this->client.context);
+        this->connection = std::make_unique<target_connection>(this->client.context, this->client.options);
         this->set_timeout(connect_timeout);
         this->connection->stream.async_connect(
             this->client.target_endpoint(),
--- a/tests/link/link_hub_test.cpp
+++ b/tests/link/link_hub_test.cpp
@@ -2,6 +2,7 @@
 
 #include "link/codec.hpp"
 #include "link/link_hub.hpp"
+#include "support/endless_stream.hpp"
 
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
@@ -170,6 +171,20 @@
     ::close(socket);
 }
 
+TEST_CASE("an unauthenticated peer that sends without end is closed before it has used memory") {
+    auto const address = next_address();
+    test_peer server("server", "secret");
+    listen_or_fail(server.hub, address);
+    auto const port = static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
+    for (auto const& head :
+         {std::string("\0\0\3\xff", 4), std::string("\x7f\xff\xff\xff", 4), std::string()}) {
+        tests::raw_connection const peer(port);
+        REQUIRE(peer.is_open);
+        tests::endless_stream const stream{"frame", head, std::string(tests::filler_bytes, 'a')};
+        CHECK(tests::write_endlessly(peer.socket, stream) < tests::max_bytes_taken);
+    }
+}
+
 TEST_CASE("a silent unauthenticated connection is closed") {
     auto const address = next_address();
     test_peer server("server", "secret");
