node, platform: Replace a reader that the platform does not serve

Cause: a reader counted as live while a link to it was open, whether or not the platform answered it, and it told nobody that its calls fail.

Ruled out: that another host reads and its version does not spread; no host of 7, 14 or 60 had the version after 3 s without the change.

Change: a source tells when the platform stops to serve it and when it serves it again; the node tells the other hosts of its domain that may read, in an entry of its gossip that earlier versions ignore. Such a reader is not live. Two hosts stand by behind the standby, so five of a domain ask a platform that turns all away.

--- a/libraries/link/message.hpp
+++ b/libraries/link/message.hpp
@@ -241,7 +241,8 @@
     bool operator==(document_version const&) const = default;
 };
 
-/// Fingerprint of requests that were in flight when a target crashed.
+/// Fingerprint of requests that were in flight when a target crashed. With `platform_fingerprint` and no
+/// crash, it says instead that the sender reads the platform, which last served it so long ago.
 struct suspect_report {
     std::uint64_t fingerprint{0};
     std::uint32_t crash_count{0};
@@ -254,6 +255,9 @@
     bool operator==(suspect_report const&) const = default;
 };
 
+/// Hosts that do not know it ignore an entry without a crash, so that it needs no new message format.
+inline constexpr std::uint64_t platform_fingerprint = 0;
+
 /// What the sender knows of a target that states a limit, or that it is leaving or cold.
 struct target_report {
     std::uint32_t target{0};
--- a/libraries/node/core_event.hpp
+++ b/libraries/node/core_event.hpp
@@ -23,6 +23,11 @@
     bundle content;
 };
 
+/// Whether the platform serves this host has changed.
+struct platform_service_event {
+    bool is_served{true};
+};
+
 /// A document was checked. When it was accepted, the member that belongs to its kind is set.
 struct document_checked_event {
     document_kind document{document_kind::configuration};
@@ -37,7 +42,8 @@
     node_phase phase{node_phase::starting};
 };
 
-using core_event = std::variant<listener_request, disconnect_event, target_answer, link_event,
-                                platform_document_event, document_checked_event, phase_event>;
+using core_event =
+    std::variant<listener_request, disconnect_event, target_answer, link_event, platform_document_event,
+                 platform_service_event, document_checked_event, phase_event>;
 
 } // namespace caraway
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ranges>
 
 namespace caraway {
 
@@ -51,6 +52,17 @@
     return hosts;
 }
 
+/// The hosts of a failure domain that may read the platform, in the order in which they do.
+std::vector<std::string> choose_readers(std::vector<listed_host> const& hosts, std::string const& domain) {
+    std::vector<std::string> names;
+    for (auto const& entry : hosts) {
+        if (entry.failure_domain == domain) {
+            names.push_back(entry.host);
+        }
+    }
+    return rendezvous_top(names, platform_reader_key, platform_candidate_count);
+}
+
 /// How long the listed target has been running, by the clocks of two hosts; empty if that is unknown.
 std::optional<duration> running_time(listed_host const& entry) {
     if (entry.started_ms == 0) {
@@ -75,6 +87,7 @@
     this->hosts = seed_hosts(this->context.options);
     this->context.peers.set_regions(this->context.options.region, this->context.options.domain_regions);
     this->context.peers.update_hosts(this->hosts, started);
+    this->readers = choose_readers(this->hosts, this->context.options.failure_domain);
 }
 
 host_report node_core::own_report(time_point now) {
@@ -109,6 +122,11 @@
             [&](platform_document_event& read) {
                 this->documents.on_platform_document(read.document, std::move(read.content), now);
             },
+            [&](platform_service_event& service) {
+                this->platform_serves = service.is_served;
+                this->platform_lost_at = service.is_served ? this->platform_lost_at : now;
+                this->observe_readers(now);
+            },
             [&](document_checked_event& checked) { this->on_document_checked(std::move(checked), now); },
             [&](phase_event& phase) { this->on_phase(phase.phase, now); },
         },
@@ -185,11 +203,17 @@
         this->context.targets.merge(reported.target, state, now);
     }
     this->documents.on_gossip(received.from, gossip, now);
+    bool lacks_platform = false;
     for (auto const& reported : gossip.suspects) {
+        if (reported.fingerprint == platform_fingerprint && reported.crash_count == 0) {
+            lacks_platform = true;
+            continue;
+        }
         bool const is_new = this->context.request_quarantine.merge(reported.fingerprint, reported.crash_count,
                                                                    {reported.age_ms}, now);
         this->has_new_suspects = this->has_new_suspects || is_new;
     }
+    this->context.peers.set_lacks_platform(received.from, lacks_platform);
     if (gossip.wants_answer) {
         this->send_gossip(received.from, false, now);
     }
@@ -288,6 +312,7 @@
 void node_core::apply_host_list(host_list const& list, time_point now) {
     auto const before = std::exchange(this->hosts, merge_host_list(this->hosts, list));
     this->context.peers.update_hosts(this->hosts, now);
+    this->readers = choose_readers(this->hosts, this->context.options.failure_domain);
     this->configure_cold_rates();
     this->record_listed_cold(before, now);
     domain_hosts listed;
@@ -366,6 +391,9 @@
     gossip_message content{.report = this->own_report(now),
                            .documents = this->documents.versions(),
                            .wants_answer = wants_answer};
+    if (this->reported_lack) {
+        content.suspects.push_back({platform_fingerprint, 0, (now - this->platform_lost_at).milliseconds});
+    }
     for (auto const& entry : this->context.request_quarantine.suspects(now)) {
         if (content.suspects.size() < max_gossiped_suspects) {
             content.suspects.push_back(
@@ -489,43 +517,71 @@
     return std::exchange(this->context.pending_effects, {});
 }
 
-std::vector<std::string> node_core::listed_readers() const {
-    std::vector<std::string> names;
-    for (auto const& entry : this->hosts) {
-        if (entry.failure_domain == this->context.options.failure_domain) {
-            names.push_back(entry.host);
+void node_core::observe_readers(time_point now) {
+    std::erase_if(this->reader_seen_at, [this](auto const& entry) {
+        return std::ranges::find(this->readers, entry.first) == this->readers.end();
+    });
+    for (auto const& name : this->readers) {
+        // Before the first host list there is no reader to wait for.
+        bool const is_first = this->reader_seen_at.try_emplace(name, now).second;
+        if (is_first || this->context.peers.is_connected(name)) {
+            this->reader_seen_at[name] = now;
+        }
+    }
+    for (auto const& name : std::views::take(this->readers, platform_reader_count)) {
+        this->any_reader_seen_at = std::max(this->any_reader_seen_at, this->reader_seen_at[name]);
+    }
+    bool const lacks_platform = !this->platform_serves && this->reads_platform();
+    if (lacks_platform == std::exchange(this->reported_lack, lacks_platform)) {
+        return;
+    }
+    this->context.pending_effects.log(
+        log_level::warn, lacks_platform ? "platform_lost" : "platform_found",
+        {{"lost_ms", std::to_string(std::llround((now - this->platform_lost_at).milliseconds))}});
+    for (auto const& name : this->readers) {
+        if (name != this->context.options.host) {
+            this->send_gossip(name, false, now);
         }
     }
-    return rendezvous_top(names, platform_reader_key, platform_reader_count);
 }
 
-void node_core::observe_readers(time_point now) {
-    auto const readers = this->listed_readers();
-    bool const has_link = std::ranges::any_of(
-        readers, [this](std::string const& name) { return this->context.peers.is_connected(name); });
-    // Before the first host list there is no reader to wait for.
-    bool const is_first_list = !readers.empty() && this->reader_seen_at.milliseconds == 0;
-    if (has_link || is_first_list) {
-        this->reader_seen_at = now;
+bool node_core::is_live_reader(std::string const& host, std::size_t own_rank) const {
+    if (this->context.peers.is_connected(host)) {
+        return !this->context.peers.find(host)->lacks_platform;
     }
+    // The first ones replace a host that is lost at once; the others may have no link to it yet.
+    auto const seen = this->reader_seen_at.find(host);
+    return own_rank >= platform_reader_count && seen != this->reader_seen_at.end() &&
+           this->last_event_time - seen->second < reader_link_grace;
 }
 
 bool node_core::reads_platform() const {
-    std::size_t live_readers = 0;
-    for (auto const& name : this->listed_readers()) {
-        if (name == this->context.options.host) {
-            // A standby reads only while one of the readers before it is not reachable.
-            return live_readers < active_reader_count || this->context.configuration == nullptr;
-        }
-        live_readers += this->context.peers.is_connected(name) ? 1 : 0;
-    }
     if (this->context.configuration == nullptr) {
         return true;
     }
-    // Without a link to any reader a node has to read the platform itself.
-    bool const awaits_link = this->reader_seen_at.milliseconds > 0 &&
-                             this->last_event_time - this->reader_seen_at < reader_link_grace;
-    return live_readers == 0 && !awaits_link;
+    auto const own = std::ranges::find(this->readers, this->context.options.host);
+    auto const own_rank = static_cast<std::size_t>(own - this->readers.begin());
+    if (own != this->readers.end()) {
+        // A standby reads only while fewer of the hosts before it do than are to read. The hosts behind the
+        // standby read only while none of those before them does.
+        auto const live_count = std::count_if(this->readers.begin(), own, [&](std::string const& name) {
+            return this->is_live_reader(name, own_rank);
+        });
+        std::size_t const needed = own_rank < platform_reader_count ? active_reader_count : 1;
+        if (static_cast<std::size_t>(live_count) < needed) {
+            return true;
+        }
+        if (own_rank < platform_reader_count) {
+            return false;
+        }
+    }
+    // Without a link to any of the first readers a node has to read the platform itself.
+    auto const linked = std::views::take(this->readers, platform_reader_count);
+    bool const has_link = std::ranges::any_of(
+        linked, [this](std::string const& name) { return this->context.peers.is_connected(name); });
+    bool const awaits_link = this->any_reader_seen_at.milliseconds > 0 &&
+                             this->last_event_time - this->any_reader_seen_at < reader_link_grace;
+    return !has_link && !awaits_link;
 }
 
 bool node_core::is_idle() const {
--- a/libraries/node/node_core.hpp
+++ b/libraries/node/node_core.hpp
@@ -11,6 +11,7 @@
 #include "platform/platform_source.hpp"
 #include "policy/former_rates.hpp"
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -64,8 +65,12 @@
     /// else its fraction of the listed hosts.
     double domain_rate_fraction() const;
     rate_limit make_rate_limit(rate_part const& whole, rate_plan const& plan) const;
-    std::vector<std::string> listed_readers() const;
+    /// Notes which readers of the platform have links, and tells the others when the platform stops or starts
+    /// serving this one.
     void observe_readers(time_point now);
+    /// Whether the host, which may read the platform, does so as far as this one knows. `own_rank`: the place
+    /// of this host among those that may read.
+    bool is_live_reader(std::string const& host, std::size_t own_rank) const;
     void configure_rate_limits(time_point now);
     /// Tells the target table what cold targets of the listed hosts accept.
     void configure_cold_rates();
@@ -92,7 +97,14 @@
     time_point next_gossip;
     time_point next_urgent_gossip;
     time_point next_lease_tasks;
-    time_point reader_seen_at; ///< When a link to a reader of the platform was last open, or first expected.
+    /// Those of the own failure domain that may read the platform, the first ones before the others.
+    std::vector<std::string> readers;
+    /// When a link to each of them was last open, or first expected.
+    std::map<std::string, time_point> reader_seen_at;
+    time_point any_reader_seen_at; ///< The latest of the first `platform_reader_count`.
+    time_point platform_lost_at;   ///< When the platform last stopped to serve this host.
+    bool platform_serves{true};
+    bool reported_lack{false}; ///< The other readers know that the platform does not serve this one.
     time_point next_peer_tasks;
     time_point next_cleanup;
     std::size_t next_gossip_index{0};
--- a/libraries/node/node_runtime.cpp
+++ b/libraries/node/node_runtime.cpp
@@ -164,6 +164,8 @@
                     this->telemetry.enqueue_log(
                         log_entry{log_level::warn, "platform_unreachable", {{"reason", reason}}});
                 },
+            .on_service_changed =
+                [this](bool is_served) { this->core.push(platform_service_event{is_served}); },
             .on_notice =
                 [this](std::string const& event, header_list const& fields) {
                     this->telemetry.enqueue_log(log_entry{log_level::info, event, fields});
--- a/libraries/node/peer_table.cpp
+++ b/libraries/node/peer_table.cpp
@@ -57,9 +57,12 @@
         if (name == own_domain) {
             // News of the platform, and the loss of a reader, must reach every node of the domain directly.
             names.push_back(own_host);
-            for (auto& reader : rendezvous_top(names, platform_reader_key, platform_reader_count)) {
-                chosen.insert(std::move(reader));
+            auto readers = rendezvous_top(names, platform_reader_key, platform_candidate_count);
+            bool const is_candidate = std::ranges::find(readers, own_host) != readers.end();
+            if (!is_candidate) {
+                readers.resize(std::min(readers.size(), platform_reader_count));
             }
+            chosen.insert(readers.begin(), readers.end());
         }
     }
     chosen.erase(own_host);
@@ -118,6 +121,7 @@
     if (peer.info.report.incarnation != event.peer.incarnation) {
         peer.info.has_report = false;
         peer.info.reports_leaving = false;
+        peer.info.lacks_platform = false;
         peer.info.report = {.incarnation = event.peer.incarnation};
     }
     this->send_held_messages(peer, event.connection, now);
@@ -214,6 +218,13 @@
     peer->second.info.reports_leaving = report.leaving;
 }
 
+void peer_table::set_lacks_platform(std::string const& name, bool lacks_platform) {
+    auto const peer = this->peers.find(name);
+    if (peer != this->peers.end()) {
+        peer->second.info.lacks_platform = lacks_platform;
+    }
+}
+
 void peer_table::dial(std::string const& name, peer_state& peer, time_point now) {
     link_state link{
         .connection = this->next_connection++, .address = peer.info.entry.link, .dialled_at = now};
--- a/libraries/node/peer_table.hpp
+++ b/libraries/node/peer_table.hpp
@@ -28,6 +28,7 @@
     time_point report_time; ///< When `report` was received.
     bool has_report{false};
     bool reports_leaving{false};
+    bool lacks_platform{false}; ///< It reads the platform, which does not serve it.
 };
 
 /// Whether a request that was sent on the connection, in either direction, awaits its answer.
@@ -63,6 +64,7 @@
                  host_report const& own_report, time_point now);
     void on_pong(std::string const& host, connection_id connection, pong_message const& pong, time_point now);
     void on_report(std::string const& host, host_report const& report, time_point now);
+    void set_lacks_platform(std::string const& host, bool lacks_platform);
 
     /// Dials hosts, sends pings, and closes connections that are unresponsive, or that are no longer needed
     /// and on which `has_work` finds nothing under way. Returns the unresponsive ones.
@@ -149,9 +151,13 @@
 /// The rendezvous key and the number of the hosts of a failure domain that read the platform or stand by to.
 inline constexpr std::string_view platform_reader_key = "platform";
 inline constexpr std::size_t platform_reader_count = 3;
+/// The number of those that read while the platform does not serve the readers before them. Only they have
+/// links to one another; every host of the domain has one to the first `platform_reader_count`.
+inline constexpr std::size_t platform_candidate_count = 5;
 
 /// The hosts to which a node always keeps a link: all of them in a small fleet, else the platform's readers
-/// and a few others in its own failure domain, and a few in each other one.
+/// (a host that may have to read itself: all others that may) and a few others in its own failure domain, and
+/// a few in each other one.
 std::set<std::string> choose_neighbours(std::string const& own_host, std::string const& own_domain,
                                         std::vector<listed_host> const& hosts);
 
--- a/libraries/platform/document_source.cpp
+++ b/libraries/platform/document_source.cpp
@@ -22,7 +22,8 @@
 } // namespace
 
 document_source::document_source(std::string base_url, platform_callbacks handlers)
-    : callbacks(std::move(handlers)), client(std::move(base_url)) {
+    : callbacks(std::move(handlers)), service(this->callbacks.on_service_changed),
+      client(std::move(base_url)) {
     this->retry_timer.setSingleShot(true);
     QObject::connect(&this->retry_timer, &QTimer::timeout, &this->retry_timer, [this] {
         this->start_watch(this->manifest_watch);
@@ -34,6 +35,7 @@
     bool const becomes_active = active && !this->is_active;
     this->is_active = active;
     if (becomes_active) {
+        this->service.reset();
         this->start_watch(this->manifest_watch);
         this->start_watch(this->hosts_watch);
     }
@@ -51,6 +53,7 @@
         return;
     }
     current.request_pending = true;
+    current.sent_at = monotonic_clock::now();
     // After a failure nothing waits at the platform, so that a missing answer shows soon.
     auto const wait = current.has_failed ? duration{0} : watch_wait;
     auto const timeout = current.has_failed ? answer_timeout : watch_wait + overdue_timeout;
@@ -63,8 +66,12 @@
     current.request_pending = false;
     current.has_failed = reply.error() != QNetworkReply::NoError;
     if (current.has_failed) {
+        auto const now = monotonic_clock::now();
+        bool const is_overdue = reply.error() == QNetworkReply::OperationCanceledError;
+        this->service.record_failure(is_overdue ? current.sent_at : now, now);
         return this->report_failure(reply.errorString().toStdString());
     }
+    this->service.record_answer();
     auto const object = QJsonDocument::fromJson(reply.readAll()).object();
     auto const revision = object.value("revision").toString().toStdString();
     if (revision.empty()) {
--- a/libraries/platform/document_source.hpp
+++ b/libraries/platform/document_source.hpp
@@ -6,6 +6,7 @@
 
 #include "platform/platform_client.hpp"
 #include "platform/platform_source.hpp"
+#include "platform/service_monitor.hpp"
 
 #include <QTimer>
 
@@ -34,6 +35,7 @@
         std::string known_revision{"0"}; ///< The platform's revision of the last document received.
         bool request_pending{false};
         bool has_failed{false}; ///< The last request failed.
+        time_point sent_at;     ///< Of the last request.
     };
     using text_handler = std::function<void(std::string&&)>;
 
@@ -44,6 +46,7 @@
     void report_failure(std::string const& reason);
 
     platform_callbacks callbacks;
+    service_monitor service;
     platform_client client;
     QTimer retry_timer;
     bool is_active{false};
--- a/libraries/platform/platform_source.hpp
+++ b/libraries/platform/platform_source.hpp
@@ -21,6 +21,8 @@
     /// The host list as JSON text (node/host_list.hpp).
     std::function<void(std::string&&)> on_hosts;
     std::function<void(std::string const& reason)> on_failure;
+    /// Whether the platform serves this host, at each change: another host then reads in its place.
+    std::function<void(bool is_served)> on_service_changed;
     /// An event for the operators' log, with its fields.
     std::function<void(std::string const& event, header_list const& fields)> on_notice;
 };
--- a/tests/node/simulated_fleet.cpp
+++ b/tests/node/simulated_fleet.cpp
@@ -13,6 +13,10 @@
 constexpr duration step_duration{1};
 constexpr duration core_tick_interval{4};
 constexpr duration link_delay{1};
+/// Between two calls of a host to the platform.
+constexpr duration platform_interval{300};
+/// A host that the platform turns away is not served any more after this long.
+constexpr duration platform_outage{300};
 constexpr std::uint16_t link_port = 7000;
 constexpr std::string_view health_path = "/health";
 constexpr std::string_view egress_prefix = "below-";
@@ -49,6 +53,10 @@
     time_point paused_until;
     time_point partitioned_until;
     std::optional<time_point> stops_at;
+    time_point next_platform_call;
+    std::optional<time_point> turned_away_since; ///< When it was first turned away in a row.
+    bool is_served{true};                        ///< By the platform, if it reads.
+    bool knows_it_is_served{true};
     std::uint64_t incarnation{0};
     bool serving{false};
     bool crashes_next_run{false};
@@ -159,6 +167,35 @@
     }
 }
 
+void simulated_fleet::serve_from_platform(std::string const& host, bool is_served) {
+    this->nodes.at(host)->is_served = is_served;
+}
+
+void simulated_fleet::read_platform(node& entry) {
+    if (!entry.core->reads_platform()) {
+        entry.turned_away_since.reset();
+        return;
+    }
+    if (this->clock < entry.next_platform_call) {
+        return;
+    }
+    entry.next_platform_call = this->clock + platform_interval;
+    ++this->platform_call_count;
+    if (entry.is_served) {
+        entry.turned_away_since.reset();
+    } else if (!entry.turned_away_since) {
+        entry.turned_away_since = this->clock;
+    }
+    bool const counts_as_served =
+        !entry.turned_away_since || this->clock - *entry.turned_away_since < platform_outage;
+    if (std::exchange(entry.knows_it_is_served, counts_as_served) != counts_as_served) {
+        this->handle_event(entry, platform_service_event{counts_as_served});
+    }
+    if (entry.is_served) {
+        this->offer_documents(entry);
+    }
+}
+
 void simulated_fleet::set_service_time(std::string const& host, duration span) {
     this->nodes.at(host)->service.service_time = span;
 }
@@ -169,6 +206,9 @@
 
 void simulated_fleet::publish_configuration(item_set const& items) {
     this->configuration = make_bundle_or_throw(items, ++this->revision);
+    if (this->platform_is_followed) {
+        return;
+    }
     for (auto& [host, entry] : this->nodes) {
         if (entry->core != nullptr && !this->is_partitioned(*entry)) {
             this->handle_event(*entry,
@@ -586,6 +626,9 @@
             entry->next_tick = this->clock + core_tick_interval;
             entry->core->run_periodic_tasks(this->clock);
             this->execute_effects(*entry);
+            if (this->platform_is_followed && entry->serving) {
+                this->read_platform(*entry);
+            }
         }
         if (!entry->serving && entry->core->status(false, this->clock)->documents_ready) {
             entry->serving = true;
--- a/tests/node/simulated_fleet.hpp
+++ b/tests/node/simulated_fleet.hpp
@@ -112,6 +112,12 @@
     /// The same with these evacuated failure domains in place of the former ones.
     void evacuate(std::vector<std::string> const& domains);
     void publish_configuration(item_set const& items);
+    /// From now on a published configuration is read only by hosts that read the platform.
+    void follow_platform() { this->platform_is_followed = true; }
+    /// Whether the platform serves the host, or turns it away when it reads.
+    void serve_from_platform(std::string const& host, bool is_served);
+    /// Calls to the platform since `follow_platform`; each host that reads makes one in `platform_interval`.
+    std::size_t platform_calls() const { return this->platform_call_count; }
     /// The same, but only this host reads it from the platform.
     void publish_configuration_at(std::string const& host, item_set const& items);
     /// The revision of the configuration that the host has in force; 0 when it is dead.
@@ -146,6 +152,7 @@
     duration one_way_delay(node const& from, node const& to) const;
     bool is_partitioned(node const& entry) const;
     void offer_documents(node& entry);
+    void read_platform(node& entry);
     void offer_hosts();
 
     fleet_plan plan;
@@ -165,6 +172,8 @@
     std::map<std::uint64_t, std::size_t> runs_waiting_for_call;
     std::vector<target_run> target_runs;
     int peak_over_slots{0};
+    bool platform_is_followed{false};
+    std::size_t platform_call_count{0};
 };
 
 } // namespace caraway::simulation
--- a/tests/platform/followed_registry.hpp
+++ b/tests/platform/followed_registry.hpp
@@ -70,6 +70,11 @@
                                                                [](problem const&) { return host_list{}; });
                                    },
                                .on_failure = [this](std::string const&) { ++this->failures; },
+                               .on_service_changed =
+                                   [this](bool served) {
+                                       ++this->service_changes;
+                                       this->is_served = served;
+                                   },
                                .on_notice = [this](std::string const& event,
                                                    header_list const&) { this->notices.push_back(event); }});
         this->source->set_active(true);
@@ -123,6 +128,8 @@
     std::unique_ptr<registry_source> source;
     host_list list;
     bundle last;
+    bool is_served{true};
+    int service_changes{0};
     int configurations{0};
     int failures{0};
     std::vector<std::string> notices; ///< Names of the events that the source logged.
--- a/tests/platform/registry_silence_test.cpp
+++ b/tests/platform/registry_silence_test.cpp
@@ -54,3 +54,36 @@
     watched.registry.put("op/config", configuration_text(2));
     CHECK(watched.wait_for([&] { return watched.configurations == 2; }));
 }
+
+// A reader that the registry turned away counted as a reader for as long as its links were open.
+TEST_CASE("a source tells soon that the registry does not serve it, and that it does again") {
+    followed_registry watched;
+    REQUIRE(watched.wait_for([&] { return watched.configurations == 1; }));
+    auto fault = registry_fault::down;
+    SUBCASE("answered with 503") {}
+    SUBCASE("without an answer") {
+        fault = registry_fault::silent;
+    }
+    watched.registry.set_fault(fault);
+    QElapsedTimer timer;
+    timer.start();
+    CHECK(watched.wait_for([&] { return !watched.is_served; }));
+    CHECK(timer.elapsed() <= max_reading_ms);
+    watched.registry.set_fault(registry_fault::none);
+    timer.restart();
+    CHECK(watched.wait_for([&] { return watched.is_served; }));
+    CHECK(timer.elapsed() <= max_reading_ms);
+    CHECK(watched.service_changes == 2);
+}
+
+TEST_CASE("a single call without an answer from a registry that serves the next one is no outage for long") {
+    followed_registry watched;
+    REQUIRE(watched.wait_for([&] { return watched.configurations == 1; }));
+    watched.registry.set_fault(registry_fault::down);
+    REQUIRE(watched.wait_for([&] { return watched.failures >= 1; }));
+    watched.registry.set_fault(registry_fault::none);
+    QElapsedTimer timer;
+    timer.start();
+    REQUIRE(watched.wait_for([&] { return timer.elapsed() >= 1000; }));
+    CHECK(watched.service_changes == 0);
+}
