node: Serve the operators' and the readiness address with the callers' listener

Operators of other systems saw a machine run out of memory for bytes that came without end. Here the operators' and the readiness address kept whatever arrived: a header, a body or no message at all, and the node would be killed.

Cause: Qt's HTTP server limits neither the header nor the body of a request.

Ruled out: a setting of Qt 6.4 for such a limit; there is none.

Change: operator_server uses http_listener on the core's event loop, with a body of 4 KiB and 64 connections at most.

--- a/libraries/node/node_runtime.cpp
+++ b/libraries/node/node_runtime.cpp
@@ -110,7 +110,8 @@
         this->egress_listener = this->make_listener(*this->options.egress, listener_side::egress);
     }
     this->operator_interface = std::make_unique<operator_server>(
-        [this] { return this->core.status(); }, [this] { return this->core.status_with_texts(); });
+        [this] { return this->core.status(); }, [this] { return this->core.status_with_texts(); },
+        this->core.loop());
     BOOST_LEAF_CHECK(this->operator_interface->open(this->options.operators));
     if (this->options.readiness) {
         BOOST_LEAF_CHECK(this->operator_interface->open_readiness(*this->options.readiness));
