platform: Read the platform with a client whose answers are bounded

Seen: an answer of the platform without end was kept. Qt's client took over 24 MB of chunks and of a body without a length before its next progress signal, and in an endless header its thread read on, a byte for each system call, after the call had ended.

Cause: the limit on the answer's size was checked at downloadProgress, which Qt emits ten times a second at most, and nothing limited the header or the line before a chunk.

Tried and reverted: QNetworkReply::setReadBufferSize and a check at readyRead; the reading thread went on, and the test did not end within 60 and 100 s.

It resends once where the peer closes before it has answered, as Qt did.

--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.hpp"
 #include "http/header_rules.hpp"
+#include "http/idle_socket.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -51,14 +52,6 @@
     target_connection(asio::io_context& context, target_client_settings const& options)
         : stream(context), buffer(std::max(min_read_buffer_bytes, options.max_header)) {}
 
-    /// Whether the target has neither closed the connection nor sent unsolicited bytes.
-    bool is_usable() {
-        char byte = 0;
-        auto const received =
-            ::recv(this->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    }
-
     /// Whether the target refused an earlier attempt of the request here. It may write that refusal once
     /// more, and nothing tells it from the answer to a later attempt.
     bool has_refused(std::string const& request_id) const {
@@ -496,7 +489,7 @@
         }
         auto connection = std::move(*found);
         this->idle_connections.erase(found);
-        if (is_sound && connection->is_usable()) {
+        if (is_sound && is_idle_socket(connection->stream.socket())) {
             return connection;
         }
     }
--- a/libraries/platform/document_source.cpp
+++ b/libraries/platform/document_source.cpp
@@ -2,7 +2,6 @@
 
 #include <QJsonDocument>
 #include <QJsonObject>
-#include <QNetworkReply>
 
 #include <cmath>
 
@@ -59,20 +58,20 @@
     auto const timeout = current.has_failed ? answer_timeout : watch_wait + overdue_timeout;
     this->client.get("/v1/watch/" + current.name + "?after=" + current.known_revision +
                          "&wait_ms=" + std::to_string(std::llround(wait.milliseconds)),
-                     timeout, [this, &current](QNetworkReply& reply) { this->on_watched(current, reply); });
+                     timeout,
+                     [this, &current](platform_reply const& reply) { this->on_watched(current, reply); });
 }
 
-void document_source::on_watched(watch& current, QNetworkReply& reply) {
+void document_source::on_watched(watch& current, platform_reply const& reply) {
     current.request_pending = false;
-    current.has_failed = reply.error() != QNetworkReply::NoError;
+    current.has_failed = !reply.is_ok();
     if (current.has_failed) {
         auto const now = monotonic_clock::now();
-        bool const is_overdue = reply.error() == QNetworkReply::OperationCanceledError;
-        this->service.record_failure(is_overdue ? current.sent_at : now, now);
-        return this->report_failure(reply.errorString().toStdString());
+        this->service.record_failure(reply.is_overdue ? current.sent_at : now, now);
+        return this->report_failure(reply.failure());
     }
     this->service.record_answer();
-    auto const object = QJsonDocument::fromJson(reply.readAll()).object();
+    auto const object = QJsonDocument::fromJson(QByteArray::fromStdString(reply.body)).object();
     auto const revision = object.value("revision").toString().toStdString();
     if (revision.empty()) {
         return this->report_failure("The platform's answer has no revision.");
@@ -123,19 +122,19 @@
         return this->callbacks.on_configuration(bundle(this->current_bundle));
     }
     auto const name = this->missing_values.back();
-    this->client.get("/v1/values/" + name, answer_timeout, [this, name](QNetworkReply& reply) {
+    this->client.get("/v1/values/" + name, answer_timeout, [this, name](platform_reply const& reply) {
         bool const expected =
             this->incoming_bundle && !this->missing_values.empty() && this->missing_values.back() == name;
         if (!expected) {
             return;
         }
-        if (reply.error() != QNetworkReply::NoError) {
+        if (!reply.is_ok()) {
             // Start again with the manifest, which may have changed meanwhile.
             this->incoming_bundle.reset();
             this->manifest_watch.known_revision = "0";
-            return this->report_failure(reply.errorString().toStdString());
+            return this->report_failure(reply.failure());
         }
-        auto const object = QJsonDocument::fromJson(reply.readAll()).object();
+        auto const object = QJsonDocument::fromJson(QByteArray::fromStdString(reply.body)).object();
         this->incoming_bundle->values[name] = object.value("value").toString().toStdString();
         this->missing_values.pop_back();
         this->fetch_missing_value();
--- a/libraries/platform/document_source.hpp
+++ b/libraries/platform/document_source.hpp
@@ -16,8 +16,6 @@
 #include <string>
 #include <vector>
 
-class QNetworkReply;
-
 namespace caraway {
 
 class document_source : public platform_source {
@@ -40,7 +38,7 @@
     using text_handler = std::function<void(std::string&&)>;
 
     void start_watch(watch& current);
-    void on_watched(watch& current, QNetworkReply& reply);
+    void on_watched(watch& current, platform_reply const& reply);
     void on_manifest(std::string&& text);
     void fetch_missing_value();
     void report_failure(std::string const& reason);
--- a/libraries/platform/platform_client.hpp
+++ b/libraries/platform/platform_client.hpp
@@ -1,34 +1,73 @@
-/// The HTTP client for the platform, on QNetworkAccessManager. It sends only GET requests, because Qt may
-/// resend a request by itself. Runs on the thread of the Qt event loop.
+/// The HTTP client for the platform, built on Boost.Beast. It sends only GET requests, since it may resend
+/// one. It keeps its connections and runs on an event loop of its own; handlers run on the Qt event loop.
 #pragma once
 
 #include "base/clock.hpp"
+#include "base/event_loop_thread.hpp"
+#include "base/header_field.hpp"
 
-#include <QNetworkAccessManager>
+#include <QObject>
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
-
-class QNetworkReply;
+#include <string_view>
+#include <vector>
 
 namespace caraway {
 
+struct platform_reply {
+    unsigned int status{0}; ///< 0 if no whole answer was received.
+    header_list headers;
+    std::string body;
+    std::string error;        ///< Why no whole answer was received; empty if one was.
+    bool is_overdue{false};   ///< Because nothing arrived for too long.
+    bool is_too_large{false}; ///< Because of the size of the body.
+
+    bool is_ok() const { return this->status == 200; }
+    /// For the operators' log.
+    std::string failure() const {
+        return this->status == 0 ? this->error : "status " + std::to_string(this->status);
+    }
+    /// The value of the field, or an empty text.
+    std::string header(std::string_view name) const;
+};
+
+class platform_call;
+class platform_connection;
+
 class platform_client {
 public:
-    /// `base_url` is prepended to every path.
-    explicit platform_client(std::string base_url);
+    using reply_handler = std::function<void(platform_reply const&)>;
+
+    /// `base_url` precedes every path: `http://HOST:PORT`, and a path if the service has one.
+    explicit platform_client(std::string const& base_url);
+    ~platform_client();
+    platform_client(platform_client const&) = delete;
+    platform_client& operator=(platform_client const&) = delete;
 
-    /// The handler gets the finished reply, whether it succeeded or failed. The request fails when it makes
-    /// no progress for `timeout`, which Qt's timer may exceed by a twentieth.
-    void get(std::string const& path, duration timeout, std::function<void(QNetworkReply&)> handler);
+    /// The handler gets the reply, whether it succeeded or failed, unless the client is destroyed before. The
+    /// request fails when nothing arrives for `timeout`, or when the answer is not complete a few seconds
+    /// after it might have begun.
+    void get(std::string const& path, duration timeout, reply_handler handler);
 
     /// Requests sent so far; a watch that waits at the platform is one request.
     std::uint64_t call_count() const { return this->calls; }
 
 private:
-    std::string url;
-    QNetworkAccessManager network;
+    friend class platform_call;
+
+    /// An idle connection that the platform has not closed, or null.
+    std::unique_ptr<platform_connection> acquire_idle();
+
+    std::string host;
+    std::string port;
+    std::string path_prefix;
+    QObject receiver; ///< Handlers run on its thread, and not after its end.
+    event_loop_thread loop;
+    bool is_running{false};
+    std::vector<std::unique_ptr<platform_connection>> idle_connections; ///< Used on the loop only.
     std::uint64_t calls{0};
 };
 
