node, http: End a drain after the last answer has been written

Cause: the drain ended with the last call of the core, which ends when a listener has the answer, not when the caller has it. 0.2 s later the process was gone.

Change: the listeners count requests whose answers are not written to the end, and a drain lasts until there is none, within its bound. drain_ended tells the count.

--- a/libraries/http/http_listener.hpp
+++ b/libraries/http/http_listener.hpp
@@ -105,6 +105,8 @@
     /// Stops accepting and closes the connections that wait for no answer; the last step, after `drain`.
     void close_idle();
 
+    /// Requests that were read and whose answers have not been written to the end.
+    std::size_t unanswered_count() const { return this->unanswered; }
     std::size_t connection_count() const { return *this->open_connections; }
     std::uint64_t unreadable_request_count() const { return this->unreadable_requests; }
 
@@ -129,6 +131,7 @@
     /// Shared with the sessions, since a shared event loop may keep them alive longer than the listener.
     std::shared_ptr<std::atomic<std::size_t>> open_connections{std::make_shared<std::atomic<std::size_t>>(0)};
     std::atomic<std::uint64_t> unreadable_requests{0};
+    std::atomic<std::size_t> unanswered{0};
     std::atomic<bool> draining{false};
     std::uint64_t next_id{1};
 };
--- a/libraries/http/http_session.cpp
+++ b/libraries/http/http_session.cpp
@@ -152,7 +152,7 @@
         this->listener.sessions_by_request.erase(id);
         return this->answer_error(result_code::node_busy, keep_alive, is_head);
     }
-    this->pending.push_back({.id = id, .keep_alive = keep_alive, .is_head = is_head});
+    this->add_pending({.id = id, .keep_alive = keep_alive, .is_head = is_head});
     this->closing = this->closing || !keep_alive;
     this->continue_reading();
 }
@@ -190,12 +190,17 @@
     auto const& entry = describe(code);
     listener_answer answer{.status = entry.http_status, .body = std::string(entry.name) + "\n"};
     answer.metadata = answer_metadata{.result = outcome::not_run, .code = code};
-    this->pending.push_back({.keep_alive = keep_alive, .is_head = is_head, .answer = std::move(answer)});
+    this->add_pending({.keep_alive = keep_alive, .is_head = is_head, .answer = std::move(answer)});
     this->closing = this->closing || !keep_alive;
     this->write_next();
     this->continue_reading();
 }
 
+void http_session::add_pending(pending_request&& request) {
+    this->pending.push_back(std::move(request));
+    ++this->listener.unanswered;
+}
+
 void http_session::watch_for_disconnect() {
     bool const has_room = this->buffer.size() < max_read_ahead_bytes;
     if (this->watching || !has_room || !this->stream.socket().is_open()) {
@@ -240,6 +245,7 @@
 
 void http_session::disconnect() {
     auto const unanswered = std::exchange(this->pending, {});
+    this->listener.unanswered -= unanswered.size();
     for (auto const& request : unanswered) {
         if (request.id != 0 && !request.answer) {
             this->listener.events.disconnected(request.id);
@@ -280,6 +286,7 @@
 
 void http_session::on_written(boost::system::error_code error, bool keep_alive) {
     this->writing = false;
+    --this->listener.unanswered;
     this->response.reset();
     this->last_activity = monotonic_clock::now();
     if (error) {
--- a/libraries/http/http_session.hpp
+++ b/libraries/http/http_session.hpp
@@ -44,6 +44,7 @@
     /// connection if there is no request to answer.
     void on_read_error(boost::system::error_code error);
     void answer_error(result_code code, bool keep_alive, bool is_head);
+    void add_pending(pending_request&& request);
     void write_next();
     void on_written(boost::system::error_code error, bool keep_alive);
     response_type make_response(pending_request&& request, bool keep_alive) const;
--- a/libraries/node/node_runtime.cpp
+++ b/libraries/node/node_runtime.cpp
@@ -295,7 +295,8 @@
     if (this->draining_since.milliseconds == 0) {
         return;
     }
-    if (!this->core.is_idle()) {
+    // A call ends when a listener has its answer; its caller may take longer to read it.
+    if (!this->core.is_idle() || this->unanswered_count() > 0) {
         this->idle_since = now;
     }
     bool const drained =
@@ -307,6 +308,11 @@
     }
 }
 
+std::size_t node_runtime::unanswered_count() const {
+    return this->caller_listener->unanswered_count() +
+           (this->egress_listener == nullptr ? 0 : this->egress_listener->unanswered_count());
+}
+
 void node_runtime::end_drain(std::string const& event, node_status const& status, time_point now) {
     this->telemetry.enqueue_log(
         log_entry{log_level::info,
@@ -314,7 +320,8 @@
                   {{"reason", event},
                    {"after_ms", std::to_string(std::llround((now - this->draining_since).milliseconds))},
                    {"calls", std::to_string(status.call_count)},
-                   {"executions", std::to_string(status.execution_count)}}});
+                   {"executions", std::to_string(status.execution_count)},
+                   {"unanswered", std::to_string(this->unanswered_count())}}});
     this->draining_since = {};
     this->state_machine->submit_event(event);
 }
--- a/libraries/node/node_runtime.hpp
+++ b/libraries/node/node_runtime.hpp
@@ -49,6 +49,8 @@
     void on_state_entered(std::string const& name);
     void poll_core();
     /// Leaves the state "draining" with this event of the state chart.
+    /// Requests whose answers a listener has not written to the end.
+    std::size_t unanswered_count() const;
     void end_drain(std::string const& event, node_status const& status, time_point now);
     void post_spans(std::string text);
     listener_events make_listener_events(listener_side side);
--- a/tests/system/faults_test.cpp
+++ b/tests/system/faults_test.cpp
@@ -167,6 +167,34 @@
     CHECK(other_answer.outcome() == "unknown");
 }
 
+// The drain ended with the last call, 0.2 s before the process, although callers were still reading answers.
+TEST_CASE("a draining node stays until its callers have read their answers") {
+    constexpr std::size_t answer_bytes = 7'000'000;
+    fleet system({.configuration = base_configuration(),
+                  .hosts = flat_hosts(),
+                  .extra_settings = "[limits]\nmax_body = 8388608\n"});
+    REQUIRE(system.wait_ready());
+    std::vector<std::unique_ptr<test_client>> readers;
+    for (int index = 0; index < 3; ++index) {
+        readers.push_back(std::make_unique<test_client>(system.node(0).ip, callers_port));
+        REQUIRE(readers.back()->send_raw("GET /front?size=" + std::to_string(answer_bytes) +
+                                         " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + first_key +
+                                         "\r\n\r\n"));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    system.send_signal(0, SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    for (auto& reader : readers) {
+        auto const answer = reader->read_answer();
+        CHECK(answer.status == 200);
+        CHECK(answer.body.size() == answer_bytes);
+        reader->close();
+    }
+    int code = -1;
+    CHECK(system.wait_exit(0, std::chrono::seconds(10), code));
+    CHECK(code == 0);
+}
+
 TEST_CASE("a host that is listed as leaving gets no new work after a few seconds") {
     fleet system({.configuration = base_configuration(), .hosts = flat_hosts()});
     REQUIRE(system.wait_ready());
