node: Check only documents whose values match their manifest

Cause: values that an earlier fetch had asked for were taken by the newer fetch, which had no manifest yet and so counted as complete. No value was compared with its digest.

Ruled out: the check itself; it refuses the mixed document rightly.

Change: values count only after the manifest, if they are missing and have the stated digest. A value with another digest ends the fetch, and the log names the peer.

--- a/libraries/node/document_replicator.cpp
+++ b/libraries/node/document_replicator.cpp
@@ -94,14 +94,14 @@
             BOOST_LEAF_AUTO(parsed, parse_manifest(values.manifest));
             fetch.revision = parsed.revision;
             fetch.content = {.manifest_text = values.manifest};
-            fetch.missing_names.clear();
+            fetch.missing.clear();
             for (auto const& [name, digest] : parsed.digests) {
                 auto const known_value = document.content->values.find(name);
                 if (known_value != document.content->values.end() &&
                     value_digest(known_value->second) == digest) {
                     fetch.content.values[name] = known_value->second;
                 } else {
-                    fetch.missing_names.push_back(name);
+                    fetch.missing[name] = digest;
                 }
             }
             return true;
@@ -126,23 +126,43 @@
     if (!values.manifest.empty()) {
         return this->on_manifest(values.document, document, values, now);
     }
+    if (document.fetch->content.manifest_text.empty()) {
+        return; // Values that an earlier fetch asked for. The manifest is still to come.
+    }
     if (values.revision != document.fetch->revision) {
         // The peer has put another revision into force meanwhile, so the fetch starts anew with its manifest.
         document.fetch->revision = values.revision;
+        document.fetch->content = {};
         this->outgoing_messages.push_back(
             {from, fetch_message{.document = values.document, .revision = values.revision}});
         return;
     }
+    bool has_expected = false;
     for (auto const& value : values.values) {
+        auto const expected = document.fetch->missing.find(value.name);
+        if (expected == document.fetch->missing.end()) {
+            continue;
+        }
+        if (value_digest(value.text) != expected->second) {
+            this->out.log(
+                log_level::warn, "document_damaged",
+                {{"from", from}, {"revision", std::to_string(values.revision)}, {"value", value.name}});
+            document.fetch.reset();
+            return;
+        }
         document.fetch->content.values[value.name] = value.text;
-        std::erase(document.fetch->missing_names, value.name);
+        document.fetch->missing.erase(expected);
+        has_expected = true;
+    }
+    if (!has_expected) {
+        return; // A copy of an earlier answer.
     }
     this->continue_fetch(values.document, document, now);
 }
 
 void document_replicator::continue_fetch(document_kind kind, document_state& document, time_point now) {
     auto& fetch = *document.fetch;
-    if (fetch.missing_names.empty()) {
+    if (fetch.missing.empty()) {
         auto content = std::move(fetch.content);
         auto const revision = fetch.revision;
         document.fetch.reset();
@@ -151,14 +171,14 @@
         }
         return;
     }
-    auto const count = std::min(max_names_per_fetch, fetch.missing_names.size());
+    fetch_message request{.document = kind, .revision = fetch.revision};
+    for (auto const& [name, digest] : fetch.missing) {
+        if (request.names.size() < max_names_per_fetch) {
+            request.names.push_back(name);
+        }
+    }
     fetch.last_progress = now;
-    this->outgoing_messages.push_back(
-        {fetch.from,
-         fetch_message{.document = kind,
-                       .revision = fetch.revision,
-                       .names = {fetch.missing_names.begin(),
-                                 fetch.missing_names.begin() + static_cast<std::ptrdiff_t>(count)}}});
+    this->outgoing_messages.push_back({fetch.from, std::move(request)});
 }
 
 void document_replicator::on_checked(document_kind kind, std::uint64_t revision, bool accepted) {
--- a/libraries/node/document_replicator.hpp
+++ b/libraries/node/document_replicator.hpp
@@ -59,8 +59,9 @@
     struct fetch_state {
         std::string from;
         std::uint64_t revision{0};
-        bundle content;
-        std::vector<std::string> missing_names;
+        bundle content; ///< Empty until the manifest of this fetch has arrived.
+        /// The digests of the values that are still to come, by name.
+        std::map<std::string, std::string> missing;
         time_point last_progress;
     };
     struct document_state {
--- a/tests/node/document_replicator_test.cpp
+++ b/tests/node/document_replicator_test.cpp
@@ -4,7 +4,10 @@
 #include "node/host_list.hpp"
 #include "support/property.hpp"
 
+#include <algorithm>
 #include <memory>
+#include <string>
+#include <tuple>
 #include <vector>
 
 using namespace caraway;
@@ -171,3 +174,142 @@
     replicator.on_checked(document_kind::hosts, 7, true);
     CHECK(replicator.revision(document_kind::hosts) == 7);
 }
+
+namespace {
+
+/// A configuration in which every value has changed since the revision before.
+bundle make_changed_configuration(std::uint64_t revision) {
+    item_set items;
+    for (auto const* name : {"first", "second", "third"}) {
+        items["services"][name]["connections"] = {.value = static_cast<double>(revision)};
+    }
+    return attempt_or([&] { return make_bundle(items, revision); }, [](problem const&) { return bundle{}; });
+}
+
+bool is_whole(bundle const& content) {
+    auto const stated = attempt_or([&] { return parse_manifest(content.manifest_text); },
+                                   [](problem const&) { return manifest{}; });
+    return stated.revision > 0 && stated.digests.size() == content.values.size() &&
+           std::ranges::all_of(stated.digests, [&](auto const& entry) {
+               auto const value = content.values.find(entry.first);
+               return value != content.values.end() && value_digest(value->second) == entry.second;
+           });
+}
+
+/// A follower that learns a configuration from two peers over links that lose, repeat, delay, reorder and
+/// damage messages. The peers read the platform.
+class disordered_links {
+public:
+    disordered_links() : fleet(3) { this->fleet.now += 5000; } // The peers have waited for peers of theirs.
+
+    void publish(std::size_t peer) {
+        this->fleet.nodes[peer].replicator->on_platform_document(
+            document_kind::configuration, make_changed_configuration(++this->newest), {this->fleet.now});
+        this->collect();
+    }
+    void gossip(std::size_t peer) {
+        gossip_message const content{.report = {.serving = true},
+                                     .documents = this->fleet.nodes[peer].replicator->versions()};
+        this->fleet.nodes[follower].replicator->on_gossip(std::to_string(peer), content, {this->fleet.now});
+        this->collect();
+    }
+    void deliver(std::size_t index, bool is_repeated, bool is_damaged) {
+        if (this->in_transit.empty()) {
+            return;
+        }
+        index %= this->in_transit.size();
+        auto moved = this->in_transit[index];
+        if (!is_repeated) {
+            this->drop(index);
+        }
+        auto& receiver = *this->fleet.nodes[static_cast<std::size_t>(std::stoi(moved.message.to))].replicator;
+        auto const from = std::to_string(moved.from);
+        if (auto* fetch = std::get_if<fetch_message>(&moved.message.content)) {
+            receiver.on_fetch(from, *fetch);
+        } else {
+            auto& values = std::get<values_message>(moved.message.content);
+            if (is_damaged && !values.values.empty()) {
+                values.values.front().text += "x";
+            }
+            receiver.on_values(from, values, {this->fleet.now});
+        }
+        this->collect();
+    }
+    void drop(std::size_t index) {
+        if (!this->in_transit.empty()) {
+            this->in_transit.erase(this->in_transit.begin() +
+                                   static_cast<std::ptrdiff_t>(index % this->in_transit.size()));
+        }
+    }
+    /// A round in which nothing is lost or late, after the time of a fetch that had no answer.
+    void recover() {
+        this->fleet.now += 10'000;
+        this->in_transit.clear();
+        this->fleet.nodes[follower].replicator->run_periodic_tasks({this->fleet.now});
+        for (std::size_t const peer : {1, 2}) {
+            this->gossip(peer);
+            while (!this->in_transit.empty()) {
+                this->deliver(0, false, false);
+            }
+        }
+    }
+    std::uint64_t followed_revision() const {
+        return this->fleet.nodes[follower].replicator->revision(document_kind::configuration);
+    }
+
+    std::uint64_t newest{0};
+    bool checks_only_whole{true};
+
+private:
+    struct message_in_transit {
+        std::size_t from{0};
+        replication_message message;
+    };
+
+    static constexpr std::size_t follower = 0;
+
+    void collect() {
+        for (std::size_t index = 0; index < this->fleet.nodes.size(); ++index) {
+            for (auto& outgoing : this->fleet.nodes[index].replicator->take_outgoing_messages()) {
+                this->in_transit.push_back({index, std::move(outgoing)});
+            }
+            for (auto const& request : std::exchange(this->fleet.nodes[index].out->document_checks, {})) {
+                bool const accepted = is_whole(request.content);
+                this->checks_only_whole = this->checks_only_whole && accepted;
+                this->fleet.nodes[index].replicator->on_checked(request.document, request.revision, accepted);
+            }
+        }
+    }
+
+    replicator_fleet fleet;
+    std::vector<message_in_transit> in_transit;
+};
+
+} // namespace
+
+// Values of an earlier fetch were taken for the answer to a newer one; the incomplete document was refused,
+// and its revision was never taken again from any peer.
+TEST_CASE("only whole documents are checked, and the newest is taken, in any order of damaged messages") {
+    caraway::tests::check_property("whole documents", [] {
+        disordered_links links;
+        auto const actions = *rc::gen::container<std::vector<std::tuple<int, int>>>(
+            rc::gen::tuple(rc::gen::inRange(0, 8), rc::gen::inRange(0, 6)));
+        for (auto const& [kind, number] : actions) {
+            auto const index = static_cast<std::size_t>(number);
+            auto const peer = 1 + index % 2;
+            if (kind == 0) {
+                links.publish(peer);
+            } else if (kind <= 2) {
+                links.gossip(peer);
+            } else if (kind == 3) {
+                links.drop(index);
+            } else {
+                links.deliver(index, kind == 4, kind == 5);
+            }
+            RC_ASSERT(links.checks_only_whole);
+        }
+        links.recover();
+        RC_ASSERT(links.checks_only_whole);
+        RC_ASSERT(links.followed_revision() == links.newest);
+    });
+}
