http: Refuse messages whose body is framed in a way that is not read

Cause: the listener refused two lengths and a length beside chunks, and the parser takes any coding but a last "chunked" for no body at all. Answers of targets were not looked at in this respect.

Ruled out: codings before a last "chunked" and a coding in HTTP/1.0 end in the same doubt; they are refused too.

Change: any Transfer-Encoding but "chunked" alone in HTTP/1.1 is answered 400 and the connection closed.

--- a/libraries/http/http_session.cpp
+++ b/libraries/http/http_session.cpp
@@ -139,8 +139,13 @@
     // smuggling). Two keys or two hosts are ambiguous in the same way.
     bool const has_ambiguous_length = request.count(http::field::content_length) > 1 ||
                                       (request.count(http::field::content_length) > 0 && request.chunked());
+    // What another coding leaves in doubt would be read as a further request.
+    bool const has_unknown_coding =
+        request.count(http::field::transfer_encoding) > 0 &&
+        (request.count(http::field::transfer_encoding) > 1 || request.version() < 11 ||
+         !boost::beast::iequals(request[http::field::transfer_encoding], "chunked"));
     bool const has_duplicates = request.count(dialect.key) > 1 || request.count(http::field::host) > 1;
-    if (has_ambiguous_length || has_duplicates) {
+    if (has_ambiguous_length || has_unknown_coding || has_duplicates) {
         return this->answer_error(result_code::request_malformed, false, is_head);
     }
     auto converted = to_listener_request(std::move(request), dialect);
--- a/tests/http/http_listener_test.cpp
+++ b/tests/http/http_listener_test.cpp
@@ -147,11 +147,22 @@
         std::string bytes;
         unsigned int status;
     };
+    // A body that is framed in a way that is not read must not be read as a request of its own.
+    std::string const hidden_request = "GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n";
     std::vector<bad_request> const cases{
         {"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!", 400},
         {"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\nhello", 400},
         {"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
          400},
+        {"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\n\r\n" + hidden_request, 400},
+        {"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: identity\r\n\r\n" + hidden_request, 400},
+        {"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked, gzip\r\n\r\n" + hidden_request, 400},
+        {"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + hidden_request,
+         400},
+        {"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: "
+         "chunked\r\n\r\n0\r\n\r\n",
+         400},
+        {"POST /a HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden_request, 400},
         {"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n", 413},
         {"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: -5\r\n\r\n", 400},
         {"GET /a HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(2 * max_header, 'x') + "\r\n\r\n", 431},
