--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <ranges>
 
 namespace caraway {
 
@@ -528,7 +527,7 @@
             this->reader_seen_at[name] = now;
         }
     }
-    for (auto const& name : std::views::take(this->readers, platform_reader_count)) {
+    for (auto const& name : this->first_readers()) {
         this->any_reader_seen_at = std::max(this->any_reader_seen_at, this->reader_seen_at[name]);
     }
     bool const lacks_platform = !this->platform_serves && this->reads_platform();
@@ -545,6 +544,10 @@
     }
 }
 
+std::span<std::string const> node_core::first_readers() const {
+    return std::span(this->readers).first(std::min(this->readers.size(), platform_reader_count));
+}
+
 bool node_core::is_live_reader(std::string const& host, std::size_t own_rank) const {
     if (this->context.peers.is_connected(host)) {
         return !this->context.peers.find(host)->lacks_platform;
@@ -576,9 +579,9 @@
         }
     }
     // Without a link to any of the first readers a node has to read the platform itself.
-    auto const linked = std::views::take(this->readers, platform_reader_count);
-    bool const has_link = std::ranges::any_of(
-        linked, [this](std::string const& name) { return this->context.peers.is_connected(name); });
+    bool const has_link = std::ranges::any_of(this->first_readers(), [this](std::string const& name) {
+        return this->context.peers.is_connected(name);
+    });
     bool const awaits_link = this->any_reader_seen_at.milliseconds > 0 &&
                              this->last_event_time - this->any_reader_seen_at < reader_link_grace;
     return !has_link && !awaits_link;
--- a/libraries/node/node_core.hpp
+++ b/libraries/node/node_core.hpp
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 
 namespace caraway {
@@ -68,6 +69,8 @@
     /// Notes which readers of the platform have links, and tells the others when the platform stops or starts
     /// serving this one.
     void observe_readers(time_point now);
+    /// Those to which every host of the domain has a link.
+    std::span<std::string const> first_readers() const;
     /// Whether the host, which may read the platform, does so as far as this one knows. `own_rank`: the place
     /// of this host among those that may read.
     bool is_live_reader(std::string const& host, std::size_t own_rank) const;
