tests: Take the ports of the new tests from below those of outgoing connections

Cause: its ports, and those of operator_server_test.cpp, lay between 33,500 and 36,100, from which the kernel takes the ports of outgoing connections (32,768 and above).

Change: ports from 32,000 to 32,720, which no other test uses.

--- a/tests/http/endless_bytes_test.cpp
+++ b/tests/http/endless_bytes_test.cpp
@@ -25,7 +25,7 @@
 constexpr std::string_view answer_line = "HTTP/1.1 200 OK\r\n";
 
 std::uint16_t next_port() {
-    static std::uint16_t port = static_cast<std::uint16_t>(33'500 + ::getpid() % 1000);
+    static std::uint16_t port = static_cast<std::uint16_t>(32'000 + ::getpid() % 300);
     return ++port;
 }
 
--- a/tests/node/operator_server_test.cpp
+++ b/tests/node/operator_server_test.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 std::uint16_t next_port() {
-    static std::uint16_t port = static_cast<std::uint16_t>(35'000 + ::getpid() % 1000);
+    static std::uint16_t port = static_cast<std::uint16_t>(32'400 + ::getpid() % 300);
     return ++port;
 }
 
