--- a/libraries/http/http_session.cpp
+++ b/libraries/http/http_session.cpp
@@ -139,7 +139,7 @@
     // smuggling). Two keys or two hosts are ambiguous in the same way.
     bool const has_ambiguous_length = request.count(http::field::content_length) > 1 ||
                                       (request.count(http::field::content_length) > 0 && request.chunked());
-    // What another coding leaves in doubt would be read as a further request.
+    // The parser takes any other coding for no body, and the body for a further request.
     bool const has_unknown_coding =
         request.count(http::field::transfer_encoding) > 0 &&
         (request.count(http::field::transfer_encoding) > 1 || request.version() < 11 ||
