node, telemetry: Measure how late the core's loop is, and name the longest step of a late turn

Nothing told apart whether a request was begun late because the loop was late or because it waited in a queue. A histogram 'loop', a log line 'loop_late' with the time in the core's steps and the longest of them, and a line for checks of documents that take 20 ms or more. No logic changed.

--- a/libraries/node/core_event.hpp
+++ b/libraries/node/core_event.hpp
@@ -35,6 +35,7 @@
     configuration_pointer configuration;
     std::shared_ptr<host_list const> hosts;
     std::string refusal; ///< The reason why it was refused; empty when it was accepted.
+    duration took;       ///< How long the check lasted.
 };
 
 /// The state chart entered another phase.
--- a/libraries/node/core_thread.cpp
+++ b/libraries/node/core_thread.cpp
@@ -81,7 +81,9 @@
 }
 
 void core_thread::schedule_periodic_tasks() {
-    this->periodic_timer.expires_after(this->idle ? idle_interval : busy_interval);
+    auto const interval = this->idle ? idle_interval : busy_interval;
+    this->periodic_tasks_due = monotonic_clock::now() + duration{static_cast<double>(interval.count())};
+    this->periodic_timer.expires_after(interval);
     this->periodic_timer.async_wait([this](boost::system::error_code error) {
         if (!error) {
             this->run_periodic_tasks();
@@ -91,26 +93,36 @@
 }
 
 void core_thread::process_events() {
-    this->events.drain([this](std::unique_ptr<core_event>&& event) {
-        this->core.handle(std::move(*event), monotonic_clock::now());
+    auto began = monotonic_clock::now();
+    this->events.drain([this, &began](std::unique_ptr<core_event>&& event) {
+        auto const name = step_name(*event);
+        this->core.handle(std::move(*event), began);
+        auto const ended = monotonic_clock::now();
+        this->watch.record_step(name, ended - began);
+        began = ended;
     });
-    this->apply_effects_and_publish_status(monotonic_clock::now());
+    this->apply_effects_and_publish_status(began);
 }
 
 void core_thread::run_periodic_tasks() {
     auto const now = monotonic_clock::now();
+    this->core.record_loop_turn(this->watch.end_turn(this->periodic_tasks_due, now));
     this->core.run_periodic_tasks(now);
+    this->watch.record_step("periodic", monotonic_clock::now() - now);
     this->apply_effects_and_publish_status(now);
 }
 
 void core_thread::apply_effects_and_publish_status(time_point now) {
+    auto const began = monotonic_clock::now();
     this->effect_handler(this->core.take_effects());
+    this->watch.record_step("effects", monotonic_clock::now() - began);
     this->idle = this->core.is_idle();
     if (now >= this->next_status_refresh) {
         this->next_status_refresh = now + status_interval;
         bool const has_reader = now - time_point{this->texts_read_at} < text_reader_timeout;
         bool const with_texts = has_reader || now >= this->next_text_refresh;
         this->next_text_refresh = with_texts ? now + unread_texts_interval : this->next_text_refresh;
+        auto const status_began = monotonic_clock::now();
         this->core.set_refused_event_count(this->refused_events);
         auto snapshot = this->core.status(with_texts, now);
         if (!with_texts) {
@@ -118,6 +130,7 @@
             snapshot->status_json = this->published_status->status_json;
         }
         std::atomic_store(&this->published_status, std::shared_ptr<node_status const>(std::move(snapshot)));
+        this->watch.record_step("status", monotonic_clock::now() - status_began);
     }
 }
 
--- a/libraries/node/core_thread.hpp
+++ b/libraries/node/core_thread.hpp
@@ -5,6 +5,7 @@
 
 #include "base/bounded_queue.hpp"
 #include "base/event_loop_thread.hpp"
+#include "node/loop_watch.hpp"
 #include "node/node_core.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -53,6 +54,8 @@
     std::atomic<std::uint64_t> refused_events{0}; ///< Because the ring was full.
     std::atomic<bool> idle{true};
     std::shared_ptr<node_status const> published_status;
+    loop_watch watch;
+    time_point periodic_tasks_due;
     time_point next_status_refresh;
     time_point next_text_refresh;
     std::atomic<double> texts_read_at{0}; ///< On the monotonic clock, in milliseconds.
--- a/libraries/node/document_check.cpp
+++ b/libraries/node/document_check.cpp
@@ -3,6 +3,7 @@
 namespace caraway {
 
 document_checked_event check_document(document_check_request const& request) {
+    auto const began = monotonic_clock::now();
     document_checked_event event{.document = request.document, .revision = request.revision};
     attempt_or(
         [&]() -> result<bool> {
@@ -18,6 +19,7 @@
             event.refusal = to_text(cause);
             return false;
         });
+    event.took = monotonic_clock::now() - began;
     return event;
 }
 
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -18,6 +18,10 @@
 constexpr duration lease_task_interval{10};
 constexpr duration peer_task_interval{50};
 constexpr duration cleanup_interval{5000};
+/// A fifth of the time within which work for a caller that has left has to end.
+constexpr duration loop_lateness_to_log{100};
+/// Checks share the processor time of the loop.
+constexpr duration check_time_to_log{20};
 /// Up to four times this many connected peers receive gossip at once after a revision came into force or a
 /// target crashed.
 constexpr std::size_t urgent_gossip_fanout = 4;
@@ -220,6 +224,13 @@
 
 void node_core::on_document_checked(document_checked_event&& event, time_point now) {
     bool const accepted = event.refusal.empty();
+    if (event.took >= check_time_to_log) {
+        this->context.pending_effects.log(
+            log_level::info, "document_checked",
+            {{"document", event.document == document_kind::configuration ? "configuration" : "hosts"},
+             {"revision", std::to_string(event.revision)},
+             {"took_ms", std::to_string(std::llround(event.took.milliseconds))}});
+    }
     this->documents.on_checked(event.document, event.revision, accepted);
     if (!accepted) {
         this->context.node_metrics.increment_counter("documents_refused");
@@ -512,6 +523,20 @@
     this->process_pending(now);
 }
 
+void node_core::record_loop_turn(loop_turn const& turn) {
+    this->context.node_metrics.observe(latency_metric::loop, turn.late);
+    if (turn.late < loop_lateness_to_log) {
+        return;
+    }
+    auto const rounded = [](duration span) { return std::to_string(std::llround(span.milliseconds)); };
+    this->context.pending_effects.log(log_level::warn, "loop_late",
+                                      {{"late_ms", rounded(turn.late)},
+                                       {"core_ms", rounded(turn.core_time)},
+                                       {"steps", std::to_string(turn.step_count)},
+                                       {"longest_step", std::string(turn.longest_step)},
+                                       {"longest_ms", rounded(turn.longest_time)}});
+}
+
 effects node_core::take_effects() {
     return std::exchange(this->context.pending_effects, {});
 }
--- a/libraries/node/node_core.hpp
+++ b/libraries/node/node_core.hpp
@@ -6,6 +6,7 @@
 #include "node/document_replicator.hpp"
 #include "node/evacuation_control.hpp"
 #include "node/executor.hpp"
+#include "node/loop_watch.hpp"
 #include "node/node_context.hpp"
 #include "node/request_router.hpp"
 #include "platform/platform_source.hpp"
@@ -40,6 +41,9 @@
     void handle(core_event&& event, time_point now);
     void run_periodic_tasks(time_point now);
 
+    /// Records how late the loop that runs this core is, and logs a turn that was late.
+    void record_loop_turn(loop_turn const& turn);
+
     /// Moves out the effects that have accumulated.
     effects take_effects();
 
--- a/libraries/telemetry/metrics.cpp
+++ b/libraries/telemetry/metrics.cpp
@@ -11,7 +11,7 @@
 
 namespace histogram = boost::histogram;
 
-constexpr std::array<std::string_view, 3> latency_metric_names{"request", "target", "queue"};
+constexpr std::array<std::string_view, 4> latency_metric_names{"request", "target", "queue", "loop"};
 constexpr unsigned int bin_count = 36;
 constexpr double lowest_ms = 0.05;
 constexpr double highest_ms = 20'000;
@@ -41,7 +41,8 @@
 
 struct metrics::histograms {
     std::array<latency_histogram, latency_metric_names.size()> values{
-        make_latency_histogram(), make_latency_histogram(), make_latency_histogram()};
+        make_latency_histogram(), make_latency_histogram(), make_latency_histogram(),
+        make_latency_histogram()};
     std::array<double, latency_metric_names.size()> sums{};
 };
 
--- a/libraries/telemetry/metrics.hpp
+++ b/libraries/telemetry/metrics.hpp
@@ -17,6 +17,7 @@
     request, ///< From a caller's request to its answer, at the entry node.
     target,  ///< From sending a request to the own target until its answer.
     queue,   ///< The wait in the queue of the own target.
+    loop,    ///< How late the core's loop begins its periodic work.
 };
 
 /// Not thread-safe: one thread owns it and publishes its text.
