base, node, http: Take in everything that has arrived before anything is started

Cause: the loop handled what was ready in the order of its queue, a step of each connection at a time. It started a request that it had read while the end of its connection, the cancellation behind it or the connection itself (one accept for each pass through the queue) still lay unread. Each step of a request cost a pass through everything else that was ready; with a check of a large configuration beside it a pass took up to 63 ms (loop_late with a bound of 20 ms), and a call spent half a second on its way.

Change: a turn of the loop reads until nothing is ready (100 ms at most), then decides, then sends. The core handles ends first and starts requests afterwards, 20 ms at a time; a request whose end has arrived is dropped without a trace. The target client writes after all cancellations of the turn, also to connections that have just been opened or become free. A request read by a late loop is taken as sent halfway between the last look at the sockets and its reading, by half of its time limit at most.

--- a/libraries/http/http_listener.hpp
+++ b/libraries/http/http_listener.hpp
@@ -5,6 +5,7 @@
 /// concurrently, up to a bound, and answered in order. Only the hash of a caller's key leaves this class.
 #pragma once
 
+#include "base/arrival.hpp"
 #include "base/bounded_queue.hpp"
 #include "base/clock.hpp"
 #include "base/event_loop_thread.hpp"
@@ -44,6 +45,7 @@
     std::string request_id;
     std::string traceparent;
     double timeout_ms{0}; ///< Time limit set by the caller; 0 if it set none.
+    arrival arrived;
 };
 
 /// Outcome and retry advice that carawaybridge adds to an answer.
--- a/libraries/http/http_session.cpp
+++ b/libraries/http/http_session.cpp
@@ -152,6 +152,7 @@
     auto const id = this->listener.next_id++;
     converted.id = id;
     converted.side = this->listener.options.side;
+    converted.arrived = this->listener.loop.thread().current_arrival();
     this->listener.sessions_by_request[id] = this->shared_from_this();
     if (!this->listener.events.request(std::move(converted))) {
         this->listener.sessions_by_request.erase(id);
--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -15,6 +15,8 @@
 #include <chrono>
 #include <cmath>
 #include <optional>
+#include <unordered_set>
+#include <utility>
 
 namespace caraway {
 
@@ -97,7 +99,7 @@
             std::chrono::microseconds(static_cast<std::int64_t>(longest.milliseconds * 1000)));
         this->wait_timer.async_wait([self = this->shared_from_this()](boost::system::error_code) {
             if (std::exchange(self->is_waiting, false)) {
-                self->client.start_waiting_calls();
+                self->client.request_turn_end();
                 self->connect();
             }
         });
@@ -121,6 +123,20 @@
         return true;
     }
 
+    /// Writes the request to the connection that it has opened, unless nobody waits for it any more.
+    void write_first() {
+        if (this->was_cancelled || !this->has_time_left()) {
+            this->client.keep_for_reuse(std::move(this->connection));
+            return this->was_cancelled ? this->finish(outcome::not_run, result_code::cancelled)
+                                       : this->finish_too_late();
+        }
+        this->set_timeout(this->answer_time_left());
+        this->write();
+    }
+
+    /// Ends a call that was cancelled before it began.
+    void finish_unstarted() { this->finish(outcome::not_run, result_code::cancelled); }
+
     void cancel() {
         if (this->was_written && !this->request.idempotent) {
             return;
@@ -162,13 +178,8 @@
                 }
                 boost::system::error_code ignored;
                 self->connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-                if (self->was_cancelled || !self->has_time_left()) {
-                    self->client.keep_for_reuse(std::move(self->connection));
-                    return self->was_cancelled ? self->finish(outcome::not_run, result_code::cancelled)
-                                               : self->finish_too_late();
-                }
-                self->set_timeout(self->answer_time_left());
-                self->write();
+                self->client.connected_calls.push_back(self);
+                self->client.request_turn_end();
             });
     }
 
@@ -435,7 +446,12 @@
                              std::function<void(target_answer&&)> answer_sink, event_loop_handle used_loop)
     : options(std::move(initial_options)), sink(std::move(answer_sink)), loop(std::move(used_loop)),
       context(this->loop.context()), commands(options.max_requests) {
-    this->commands.set_wake_callback([this] { asio::post(this->context, [this] { this->run_commands(); }); });
+    this->commands.set_wake_callback([this] {
+        if (this->context.get_executor().running_in_this_thread()) {
+            return this->request_turn_end();
+        }
+        asio::post(this->context, [this] { this->request_turn_end(); });
+    });
 }
 
 target_client::~target_client() {
@@ -454,9 +470,11 @@
     command cancellation{.is_cancel = true};
     cancellation.request.id = id;
     if (!this->commands.try_push(std::move(cancellation))) {
-        // Runs behind the full queue, which has its own wake-up before this one. There is at most one
-        // cancellation for each request.
-        asio::post(this->context, [this, id] { this->cancel_call(id); });
+        // There is at most one cancellation for each request.
+        asio::post(this->context, [this, id] {
+            this->overflow_cancels.push_back(id);
+            this->request_turn_end();
+        });
     }
 }
 
@@ -474,16 +492,42 @@
     return {asio::ip::make_address(this->options.address), this->options.port};
 }
 
-void target_client::run_commands() {
-    this->commands.drain([this](command&& next) {
+void target_client::request_turn_end() {
+    if (!std::exchange(this->turn_end_requested, true)) {
+        this->loop.thread().run_at_turn_end(turn_stage::send, [this] { this->run_turn_end(); });
+    }
+}
+
+void target_client::run_turn_end() {
+    this->turn_end_requested = false;
+    std::vector<target_request> requests;
+    std::unordered_set<std::uint64_t> cancelled;
+    this->commands.drain([&](command&& next) {
         if (!next.is_cancel) {
-            auto const id = next.request.id;
-            auto const call = std::make_shared<target_call>(*this, std::move(next.request));
-            this->calls[id] = call;
-            return call->start();
+            return requests.push_back(std::move(next.request));
         }
+        cancelled.insert(next.request.id);
         this->cancel_call(next.request.id);
     });
+    for (auto const id : std::exchange(this->overflow_cancels, {})) {
+        cancelled.insert(id);
+        this->cancel_call(id);
+    }
+    for (auto const& call : std::exchange(this->connected_calls, {})) {
+        call->write_first();
+    }
+    this->start_waiting_calls();
+    for (auto& request : requests) {
+        bool const is_cancelled = cancelled.contains(request.id);
+        this->start_call(std::move(request), is_cancelled);
+    }
+}
+
+void target_client::start_call(target_request&& request, bool is_cancelled) {
+    auto const id = request.id;
+    auto const call = std::make_shared<target_call>(*this, std::move(request));
+    this->calls[id] = call;
+    is_cancelled ? call->finish_unstarted() : call->start();
 }
 
 std::unique_ptr<target_connection> target_client::acquire_idle(bool idempotent,
@@ -514,7 +558,9 @@
     if (this->idle_connections.size() < max_idle_connections) {
         this->idle_connections.push_back(std::move(connection));
     }
-    this->start_waiting_calls();
+    if (!this->waiting_calls.empty()) {
+        this->request_turn_end();
+    }
 }
 
 bool target_client::expects_free_connection() const {
--- a/libraries/http/target_client.hpp
+++ b/libraries/http/target_client.hpp
@@ -100,7 +100,11 @@
         target_request request;
     };
 
-    void run_commands();
+    /// Requests `run_turn_end` for the current turn of the loop.
+    void request_turn_end();
+    /// Writes what has to be written, after all cancellations that have arrived.
+    void run_turn_end();
+    void start_call(target_request&& request, bool is_cancelled);
     void cancel_call(std::uint64_t id);
     boost::asio::ip::tcp::endpoint target_endpoint() const;
     /// Returns an idle connection that the target should still keep open, or null. For a non-idempotent
@@ -119,7 +123,10 @@
     bounded_queue<command> commands;
     std::unordered_map<std::uint64_t, std::weak_ptr<target_call>> calls;
     std::vector<std::unique_ptr<target_connection>> idle_connections;
-    std::deque<std::weak_ptr<target_call>> waiting_calls; ///< For a connection that another call uses.
+    std::deque<std::weak_ptr<target_call>> waiting_calls;      ///< For a connection that another call uses.
+    std::vector<std::shared_ptr<target_call>> connected_calls; ///< With a new connection of their own.
+    std::vector<std::uint64_t> overflow_cancels;               ///< Cancellations that found the queue full.
+    bool turn_end_requested{false};
 };
 
 } // namespace caraway
--- a/libraries/link/link_connection.cpp
+++ b/libraries/link/link_connection.cpp
@@ -110,7 +110,8 @@
                                      .connection = this->id,
                                      .dialled = this->dialled,
                                      .peer = this->peer_handshake.peer(),
-                                     .content = std::move(content)});
+                                     .content = std::move(content),
+                                     .arrived = this->hub.loop.thread().current_arrival()});
         },
         [&](problem const& cause) { return this->report_refused(cause.code); });
 }
--- a/libraries/link/link_event.hpp
+++ b/libraries/link/link_event.hpp
@@ -1,6 +1,7 @@
 /// Events that links report to the node's core.
 #pragma once
 
+#include "base/arrival.hpp"
 #include "link/handshake.hpp"
 
 #include <cstdint>
@@ -24,6 +25,7 @@
     link_identity peer;
     message content;
     result_code code{result_code::ok}; ///< Reason of a refusal.
+    arrival arrived;                   ///< Of a received message.
 };
 
 } // namespace caraway
--- a/libraries/node/core_thread.cpp
+++ b/libraries/node/core_thread.cpp
@@ -2,7 +2,10 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <iterator>
+#include <utility>
 
 namespace caraway {
 
@@ -14,6 +17,10 @@
 constexpr auto busy_interval = std::chrono::milliseconds(10);
 /// The same while no request is live: periodic work of gossip and links is at least 50 ms apart.
 constexpr auto idle_interval = std::chrono::milliseconds(25);
+/// The loop waits no longer than for its periodic work; timers may be a few milliseconds late.
+constexpr duration longest_wait{30};
+/// How long requests are started before the loop takes in what has arrived meanwhile.
+constexpr duration longest_start_time{20};
 constexpr duration status_interval{250};
 /// How often the texts of metrics and status are refreshed without a reader. Generating them costs more than
 /// serving many requests.
@@ -38,8 +45,13 @@
     : core(std::move(wanted), traits, incarnation, {}, monotonic_clock::now()),
       effect_handler(std::move(handler)), events(event_ring_capacity),
       published_status(std::make_shared<node_status const>()), periodic_timer(event_loop.context()) {
-    this->events.set_wake_callback(
-        [this] { boost::asio::post(this->event_loop.context(), [this] { this->process_events(); }); });
+    this->event_loop.set_longest_wait(longest_wait);
+    this->events.set_wake_callback([this] {
+        if (this->event_loop.context().get_executor().running_in_this_thread()) {
+            return this->request_turn_end();
+        }
+        boost::asio::post(this->event_loop.context(), [this] { this->request_turn_end(); });
+    });
 }
 
 core_thread::~core_thread() {
@@ -66,10 +78,9 @@
     if (may_be_refused(*stored)) {
         return false;
     }
-    // Runs behind the ring, which was not empty and therefore has its own wake-up before this one.
     boost::asio::post(this->event_loop.context(), [this, deferred = std::move(stored)]() mutable {
-        this->core.handle(std::move(*deferred), monotonic_clock::now());
-        this->apply_effects_and_publish_status(monotonic_clock::now());
+        this->overflow.push_back(std::move(deferred));
+        this->request_turn_end();
     });
     return true;
     // NOLINTEND(bugprone-use-after-move)
@@ -86,22 +97,57 @@
     this->periodic_timer.expires_after(interval);
     this->periodic_timer.async_wait([this](boost::system::error_code error) {
         if (!error) {
-            this->run_periodic_tasks();
-            this->schedule_periodic_tasks();
+            this->periodic_tasks_pending = true;
+            this->request_turn_end();
         }
     });
 }
 
-void core_thread::process_events() {
+void core_thread::request_turn_end() {
+    if (!std::exchange(this->turn_end_requested, true)) {
+        this->event_loop.run_at_turn_end(turn_stage::decide, [this] { this->run_turn_end(); });
+    }
+}
+
+void core_thread::run_turn_end() {
+    this->turn_end_requested = false;
+    this->take_in_events();
+    if (std::exchange(this->periodic_tasks_pending, false)) {
+        this->run_periodic_tasks();
+    }
+    this->start_requests();
+    this->apply_effects_and_publish_status(monotonic_clock::now());
+}
+
+void core_thread::take_in_events() {
+    std::vector<std::unique_ptr<core_event>> arrived;
+    this->events.drain(
+        [&arrived](std::unique_ptr<core_event>&& event) { arrived.push_back(std::move(event)); });
+    std::ranges::move(std::exchange(this->overflow, {}), std::back_inserter(arrived));
+    order_arrivals(arrived);
     auto began = monotonic_clock::now();
-    this->events.drain([this, &began](std::unique_ptr<core_event>&& event) {
+    for (auto& event : arrived) {
         auto const name = step_name(*event);
-        this->core.handle(std::move(*event), began);
+        this->core.take_in(std::move(*event), began);
         auto const ended = monotonic_clock::now();
         this->watch.record_step(name, ended - began);
         began = ended;
-    });
-    this->apply_effects_and_publish_status(began);
+    }
+}
+
+void core_thread::start_requests() {
+    auto const first = monotonic_clock::now();
+    auto began = first;
+    while (this->core.start_next(began)) {
+        auto const ended = monotonic_clock::now();
+        this->watch.record_step("start", ended - began);
+        began = ended;
+        if (began - first >= longest_start_time) {
+            // The next turn takes in what has arrived meanwhile before it goes on.
+            boost::asio::post(this->event_loop.context(), [this] { this->request_turn_end(); });
+            return;
+        }
+    }
 }
 
 void core_thread::run_periodic_tasks() {
@@ -109,7 +155,7 @@
     this->core.record_loop_turn(this->watch.end_turn(this->periodic_tasks_due, now));
     this->core.run_periodic_tasks(now);
     this->watch.record_step("periodic", monotonic_clock::now() - now);
-    this->apply_effects_and_publish_status(now);
+    this->schedule_periodic_tasks();
 }
 
 void core_thread::apply_effects_and_publish_status(time_point now) {
--- a/libraries/node/core_thread.hpp
+++ b/libraries/node/core_thread.hpp
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace caraway {
 
@@ -40,7 +41,13 @@
     bool is_idle() const { return this->idle; }
 
 private:
-    void process_events();
+    /// Requests `run_turn_end` for the current turn of the loop.
+    void request_turn_end();
+    /// Handles everything that the turn has taken in, the ends of requests first, and then starts requests.
+    void run_turn_end();
+    void take_in_events();
+    /// Starts for a bounded time what was taken in; the rest is left for the next turn.
+    void start_requests();
     /// Deadlines, age limits and periodic work.
     void run_periodic_tasks();
     void schedule_periodic_tasks();
@@ -51,6 +58,10 @@
     /// Holds pointers, since a ring of the events themselves would occupy many megabytes once all its slots
     /// had been used.
     bounded_queue<std::unique_ptr<core_event>> events;
+    std::vector<std::unique_ptr<core_event>>
+        overflow; ///< Events that found the ring full and are not refused.
+    bool turn_end_requested{false};
+    bool periodic_tasks_pending{false};
     std::atomic<std::uint64_t> refused_events{0}; ///< Because the ring was full.
     std::atomic<bool> idle{true};
     std::shared_ptr<node_status const> published_status;
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -191,11 +191,12 @@
 }
 
 void executor::receive(std::string const& from, connection_id connection, forward_message&& request,
-                       time_point now) {
+                       arrival const& arrived, time_point now) {
     execution work{.id = this->next_id++, .request = std::move(request)};
     work.waiters.push_back({from, connection, work.request.call_id});
     work.arrived = now;
-    work.deadline = now + duration{work.request.deadline_ms};
+    duration const time_left{work.request.deadline_ms};
+    work.deadline = arrived.sent(time_left) + time_left;
     work.allowance = retry_allowance(work.request.allowance);
     this->local_target.record_sender(from, now);
     if (this->context.configuration == nullptr) {
--- a/libraries/node/executor.hpp
+++ b/libraries/node/executor.hpp
@@ -67,7 +67,7 @@
     executor(node_context& shared, time_point started);
 
     void receive(std::string const& from, connection_id connection, forward_message&& request,
-                 time_point now);
+                 arrival const& arrived, time_point now);
     /// The caller of one attempt has left; work for which nobody waits any more is stopped.
     void cancel(std::string const& from, std::uint64_t call_id, time_point now);
     /// Nobody waits at the other end of the connection any more; its host has given up what it sent on it.
--- a/libraries/node/node_context.hpp
+++ b/libraries/node/node_context.hpp
@@ -30,6 +30,7 @@
     std::string from;
     connection_id connection{0}; ///< 0 for a message of this node to itself.
     message content;
+    arrival arrived;
 };
 
 /// The fraction of the drain time during which a leaving node still accepts requests. Callers that have not
@@ -51,7 +52,7 @@
     bool send_to_host(std::string const& host, message content, time_point now, connection_id preferred = 0,
                       connection_id* used = nullptr) {
         if (host == this->options.host) {
-            this->loopback_messages.push_back({host, 0, std::move(content)});
+            this->loopback_messages.push_back({host, 0, std::move(content), {.read = now}});
             return true;
         }
         return this->peers.send(host, std::move(content), now, preferred, used);
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -108,14 +108,18 @@
 }
 
 void node_core::handle(core_event&& event, time_point now) {
+    this->take_in(std::move(event), now);
+    while (this->start_next(now)) {
+    }
+}
+
+void node_core::take_in(core_event&& event, time_point now) {
     this->last_event_time = now;
     this->local_executor.target().note_time(now);
     std::visit(
         lambda_visitor{
-            [&](listener_request& request) { this->router.on_request(std::move(request), now); },
-            [&](disconnect_event& disconnect) {
-                this->router.on_disconnect(disconnect.side, disconnect.id, now);
-            },
+            [&](listener_request& request) { this->take_in_request(std::move(request), now); },
+            [&](disconnect_event& disconnect) { this->on_disconnect(disconnect, now); },
             [&](target_answer& answer) {
                 bool const may_have_crashed = answer.code == result_code::target_crashed;
                 this->local_executor.on_target_answer(std::move(answer), now);
@@ -137,6 +141,47 @@
     this->process_pending(now);
 }
 
+void node_core::take_in_request(request_intake::item&& arrived, time_point now) {
+    std::visit(
+        [now](auto& item) {
+            if (item.arrived.read.milliseconds == 0) {
+                item.arrived.read = now;
+            }
+        },
+        arrived);
+    if (this->intake.size() >= this->context.options.max_requests) {
+        // The router and the executor refuse it, as they refuse any request beyond this number.
+        return this->start_request(std::move(arrived), now);
+    }
+    this->intake.add(std::move(arrived));
+}
+
+bool node_core::start_next(time_point now) {
+    auto next = this->intake.take_next();
+    if (!next) {
+        return false;
+    }
+    this->last_event_time = now;
+    this->start_request(std::move(*next), now);
+    this->process_pending(now);
+    return true;
+}
+
+void node_core::start_request(request_intake::item&& arrived, time_point now) {
+    if (auto* request = std::get_if<listener_request>(&arrived)) {
+        return this->router.on_request(std::move(*request), now);
+    }
+    auto& event = std::get<link_event>(arrived);
+    this->on_message({event.peer.host, event.connection, std::move(event.content), event.arrived}, now);
+}
+
+void node_core::on_disconnect(disconnect_event const& event, time_point now) {
+    if (this->intake.remove_request(event.side, event.id)) {
+        return this->context.node_metrics.increment_counter("requests_ended_before_start");
+    }
+    this->router.on_disconnect(event.side, event.id, now);
+}
+
 void node_core::on_link(link_event&& event, time_point now) {
     switch (event.kind) {
     case link_event_kind::opened:
@@ -148,6 +193,8 @@
         }
         return;
     case link_event_kind::closed:
+        this->context.node_metrics.increment_counter("requests_ended_before_start",
+                                                     this->intake.remove_connection(event.connection));
         this->context.peers.on_closed(event.connection);
         this->local_executor.on_connection_lost(event.connection, now);
         return this->router.on_connection_lost(event.connection, now);
@@ -158,7 +205,11 @@
             {{"claimed_host", event.peer.host}, {"code", std::string(describe(event.code).name)}});
         return;
     case link_event_kind::received:
-        this->on_message({event.peer.host, event.connection, std::move(event.content)}, now);
+        if (std::holds_alternative<forward_message>(event.content)) {
+            this->context.peers.on_message_received(event.peer.host, event.connection, now);
+            return this->take_in_request(std::move(event), now);
+        }
+        this->on_message({event.peer.host, event.connection, std::move(event.content), event.arrived}, now);
         return;
     }
 }
@@ -169,10 +220,16 @@
     std::visit(
         lambda_visitor{
             [&](forward_message& request) {
-                this->local_executor.receive(from, received.connection, std::move(request), now);
+                this->local_executor.receive(from, received.connection, std::move(request), received.arrived,
+                                             now);
             },
             [&](answer_message& answer) { this->router.on_answer(from, std::move(answer), now); },
-            [&](cancel_message& cancel) { this->local_executor.cancel(from, cancel.call_id, now); },
+            [&](cancel_message& cancel) {
+                if (this->intake.remove_forwarded(from, cancel.call_id)) {
+                    return this->context.node_metrics.increment_counter("requests_ended_before_start");
+                }
+                this->local_executor.cancel(from, cancel.call_id, now);
+            },
             [&](ping_message& ping) {
                 this->context.record_report(from, ping.report, now);
                 this->context.peers.on_ping(from, received.connection, ping, this->own_report(now), now);
@@ -613,7 +670,8 @@
 }
 
 bool node_core::is_idle() const {
-    return this->router.call_count() == 0 && this->local_executor.execution_count() == 0;
+    return this->intake.size() == 0 && this->router.call_count() == 0 &&
+           this->local_executor.execution_count() == 0;
 }
 
 bool node_core::is_ready() const {
--- a/libraries/node/node_core.hpp
+++ b/libraries/node/node_core.hpp
@@ -8,6 +8,7 @@
 #include "node/executor.hpp"
 #include "node/loop_watch.hpp"
 #include "node/node_context.hpp"
+#include "node/request_intake.hpp"
 #include "node/request_router.hpp"
 #include "platform/platform_source.hpp"
 #include "policy/former_rates.hpp"
@@ -38,7 +39,14 @@
     node_core(settings wanted, platform_traits traits, std::uint64_t incarnation, lease_timing limits,
               time_point started);
 
+    /// Handles an event that arrived alone: `take_in`, and the start of the request that it may be.
     void handle(core_event&& event, time_point now);
+
+    /// Handles an event of a turn of the loop, except that requests only wait for `start_next`. The events of
+    /// a turn come in the order of their groups.
+    void take_in(core_event&& event, time_point now);
+    /// Starts the oldest request that was taken in and whose end has not arrived. False when there is none.
+    bool start_next(time_point now);
     void run_periodic_tasks(time_point now);
 
     /// Records how late the loop that runs this core is, and logs a turn that was late.
@@ -59,6 +67,10 @@
     void set_refused_event_count(std::uint64_t count) { this->refused_event_count = count; }
 
 private:
+    /// Keeps a request until it is started; refuses it when too many wait.
+    void take_in_request(request_intake::item&& arrived, time_point now);
+    void start_request(request_intake::item&& arrived, time_point now);
+    void on_disconnect(disconnect_event const& event, time_point now);
     void on_link(link_event&& event, time_point now);
     void on_message(received_message&& received, time_point now);
     void on_document_checked(document_checked_event&& event, time_point now);
@@ -92,6 +104,7 @@
     host_report own_report(time_point now);
 
     node_context context;
+    request_intake intake;
     executor local_executor;
     evacuation_control evacuation;
     request_router router;
--- a/libraries/node/request_router.cpp
+++ b/libraries/node/request_router.cpp
@@ -182,14 +182,16 @@
                                matched->allows_anonymous && request.key_sha256.empty() &&
                                request.timeout_ms > 0;
     if (may_be_nested) {
-        if (auto* parent = this->local_executor.find_by_deadline(now + duration{request.timeout_ms})) {
+        duration const timeout{request.timeout_ms};
+        auto const call_deadline = request.arrived.sent(timeout) + timeout;
+        if (auto* parent = this->local_executor.find_by_deadline(call_deadline)) {
             return this->start_inferred_call(std::move(request), *matched, parent, now);
         }
         // A nested call's deadline never exceeds that of the request it is made for, but may be earlier.
         // A node that drains can't tell a late caller from its target, so that what could outlast the drain
         // is refused.
         auto const limit = duration{std::min(request.timeout_ms, matched->deadline_ms)};
-        bool const may_be_call = this->local_executor.has_execution_past(now + duration{request.timeout_ms});
+        bool const may_be_call = this->local_executor.has_execution_past(call_deadline);
         if (may_be_call && this->context.has_time_for(limit, now)) {
             return this->start_inferred_call(std::move(request), *matched, nullptr, now);
         }
@@ -223,9 +225,11 @@
     call.request.priority = static_cast<std::uint8_t>(matched.priority);
     call.request.parent_span = trace_context::new_span_id();
     double const wanted = request.timeout_ms > 0 ? request.timeout_ms : matched.deadline_ms;
-    call.deadline = now + duration{std::min(wanted, matched.deadline_ms)};
+    duration const limit{std::min(wanted, matched.deadline_ms)};
+    auto const sent = request.arrived.sent(limit);
+    call.deadline = sent + limit;
     call.objective =
-        matched.latency_objective_ms > 0 ? now + duration{matched.latency_objective_ms} : call.deadline;
+        matched.latency_objective_ms > 0 ? sent + duration{matched.latency_objective_ms} : call.deadline;
     return call;
 }
 
--- a/tests/node/simulated_fleet.cpp
+++ b/tests/node/simulated_fleet.cpp
@@ -229,6 +229,20 @@
     this->execute_effects(entry);
 }
 
+void simulated_fleet::handle_held_events(node& entry) {
+    std::vector<std::unique_ptr<core_event>> arrived;
+    for (auto& event : std::exchange(entry.held_events, {})) {
+        arrived.push_back(std::make_unique<core_event>(std::move(event)));
+    }
+    order_arrivals(arrived);
+    for (auto& event : arrived) {
+        entry.core->take_in(std::move(*event), this->clock);
+    }
+    while (entry.core->start_next(this->clock)) {
+    }
+    this->execute_effects(entry);
+}
+
 void simulated_fleet::execute_effects(node& entry) {
     auto pending_effects = entry.core->take_effects();
     for (auto const& request : pending_effects.dials) {
@@ -619,9 +633,7 @@
         if (entry->core == nullptr || this->clock < entry->paused_until) {
             continue;
         }
-        for (auto& event : std::exchange(entry->held_events, {})) {
-            this->handle_event(*entry, std::move(event));
-        }
+        this->handle_held_events(*entry);
         if (this->clock >= entry->next_tick) {
             entry->next_tick = this->clock + core_tick_interval;
             entry->core->run_periodic_tasks(this->clock);
--- a/tests/node/simulated_fleet.hpp
+++ b/tests/node/simulated_fleet.hpp
@@ -139,6 +139,8 @@
     void step();
     void start(node& entry);
     void handle_event(node& entry, core_event&& event);
+    /// Handles what has arrived while the process was paused, in one turn of its loop.
+    void handle_held_events(node& entry);
     void execute_effects(node& entry);
     void dial(node& entry, dial_request const& request);
     void close(node& entry, connection_id connection);
--- a/tests/system/late_loop_test.cpp
+++ b/tests/system/late_loop_test.cpp
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <deque>
+#include <sys/wait.h>
 #include <thread>
 
 using namespace caraway;
@@ -68,6 +69,8 @@
     auto const before = begun(system);
     for (std::size_t node : {0U, 1U}) {
         system.send_signal(node, SIGSTOP);
+        // Returns once all threads stand still; until then a first request would not be late.
+        REQUIRE(::waitpid(system.node(node).process, nullptr, WUNTRACED) == system.node(node).process);
     }
     send_and_leave(system, requests);
     std::this_thread::sleep_for(std::chrono::milliseconds(950));
