tests: Check the time limit of a request that a late host reads

The simulated hosts tell their cores when events that arrived during a pause may have arrived at the earliest, as the event loop does.

--- a/tests/node/late_loop_test.cpp
+++ b/tests/node/late_loop_test.cpp
@@ -79,6 +79,39 @@
     CHECK(runs_since(fleet, left + notice_time) == 0);
 }
 
+// A request had its whole time limit from when it was read, so that targets were told time that callers did
+// not have.
+TEST_CASE("a late host does not give a request its whole time limit") {
+    constexpr double timeout_ms = 320;
+    simulated_fleet fleet(one_layer(1, 4));
+    auto const host = fleet.hosts().front();
+    std::size_t const before = fleet.runs().size();
+    SUBCASE("late for longer than its time limit") {
+        fleet.pause(host, duration{800});
+        fleet.run_for(duration{600});
+        fleet.send_request(host, "/front/read", timeout_ms);
+        fleet.run_for(duration{300});
+        REQUIRE(fleet.runs().size() == before + 1);
+        CHECK(fleet.runs().back().time_left <= duration{timeout_ms / 2});
+        CHECK(fleet.runs().back().time_left >= duration{timeout_ms / 2 - 20});
+    }
+    SUBCASE("late for a part of it") {
+        fleet.pause(host, duration{100});
+        fleet.run_for(duration{20});
+        fleet.send_request(host, "/front/read", timeout_ms);
+        fleet.run_for(duration{200});
+        REQUIRE(fleet.runs().size() == before + 1);
+        CHECK(fleet.runs().back().time_left <= duration{timeout_ms - 50});
+        CHECK(fleet.runs().back().time_left >= duration{timeout_ms - 70});
+    }
+    SUBCASE("on time") {
+        fleet.send_request(host, "/front/read", timeout_ms);
+        fleet.run_for(duration{200});
+        REQUIRE(fleet.runs().size() == before + 1);
+        CHECK(fleet.runs().back().time_left >= duration{timeout_ms - 20});
+    }
+}
+
 // The same over any order of requests, ends and late hosts.
 TEST_CASE("no request starts later than one turn after the end of its caller has arrived") {
     tests::check_property(
--- a/tests/node/simulated_fleet.cpp
+++ b/tests/node/simulated_fleet.cpp
@@ -50,6 +50,7 @@
     std::set<std::uint64_t> unrepeatable; ///< Those of the running requests that run once at most.
     std::vector<core_event> held_events;  ///< Arrived while the process was paused.
     time_point next_tick;
+    time_point paused_since;
     time_point paused_until;
     time_point partitioned_until;
     std::optional<time_point> stops_at;
@@ -231,7 +232,13 @@
 
 void simulated_fleet::handle_held_events(node& entry) {
     std::vector<std::unique_ptr<core_event>> arrived;
+    arrival const late{.read = this->clock, .unread = this->clock - entry.paused_since};
     for (auto& event : std::exchange(entry.held_events, {})) {
+        if (auto* request = std::get_if<listener_request>(&event)) {
+            request->arrived = late;
+        } else if (auto* link = std::get_if<link_event>(&event)) {
+            link->arrived = late;
+        }
         arrived.push_back(std::make_unique<core_event>(std::move(event)));
     }
     order_arrivals(arrived);
@@ -591,6 +598,7 @@
 }
 
 void simulated_fleet::pause(std::string const& host, duration span) {
+    this->nodes.at(host)->paused_since = this->clock;
     this->nodes.at(host)->paused_until = this->clock + span;
 }
 
