node: Start requests for as long as a turn reads, and refuse what is beyond the limit

Found in the reading of the diff: a turn could read for 100 ms and start requests for 20 ms, so that a loop with more than it can do would read ever more and start little of it; and a request beyond the limit of those that wait to be started was started at once, ahead of ends that had arrived, though the comment said that it was refused. Starts now take as long as reading at most, and such a request is refused as node_busy.

--- a/libraries/node/core_thread.cpp
+++ b/libraries/node/core_thread.cpp
@@ -19,8 +19,9 @@
 constexpr auto idle_interval = std::chrono::milliseconds(25);
 /// The loop waits no longer than for its periodic work; timers may be a few milliseconds late.
 constexpr duration longest_wait{30};
-/// How long requests are started before the loop takes in what has arrived meanwhile.
-constexpr duration longest_start_time{20};
+/// How long requests are started before the loop takes in what has arrived meanwhile. Not shorter than what a
+/// turn takes in at most, or an overloaded loop would read more and more and start little of it.
+constexpr duration longest_start_time{100};
 constexpr duration status_interval{250};
 /// How often the texts of metrics and status are refreshed without a reader. Generating them costs more than
 /// serving many requests.
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -229,6 +229,17 @@
     this->admit(std::move(work), now);
 }
 
+void executor::refuse_unstarted(std::string const& from, connection_id connection, forward_message&& request,
+                                result_code code, time_point now) {
+    execution work{.request = std::move(request)};
+    work.waiters.push_back({from, connection, work.request.call_id});
+    work.arrived = now;
+    work.allowance = retry_allowance(work.request.allowance);
+    // A copy of the ticket may run.
+    this->refuse_new(work, code, work.request.ticket.empty() ? outcome::not_run : outcome::not_forwarded,
+                     now);
+}
+
 bool executor::claim_ticket(execution& work, time_point now) {
     auto const parsed = ticket::try_parse(work.request.ticket, this->context.options.fleet_secret);
     bool const bound =
--- a/libraries/node/executor.hpp
+++ b/libraries/node/executor.hpp
@@ -68,6 +68,9 @@
 
     void receive(std::string const& from, connection_id connection, forward_message&& request,
                  arrival const& arrived, time_point now);
+    /// Refuses a request without looking at its ticket.
+    void refuse_unstarted(std::string const& from, connection_id connection, forward_message&& request,
+                          result_code code, time_point now);
     /// The caller of one attempt has left; work for which nobody waits any more is stopped.
     void cancel(std::string const& from, std::uint64_t call_id, time_point now);
     /// Nobody waits at the other end of the connection any more; its host has given up what it sent on it.
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -149,11 +149,16 @@
             }
         },
         arrived);
-    if (this->intake.size() >= this->context.options.max_requests) {
-        // The router and the executor refuse it, as they refuse any request beyond this number.
-        return this->start_request(std::move(arrived), now);
+    if (this->intake.size() < this->context.options.max_requests) {
+        return this->intake.add(std::move(arrived));
     }
-    this->intake.add(std::move(arrived));
+    if (auto const* request = std::get_if<listener_request>(&arrived)) {
+        return this->router.reject_request(*request, result_code::node_busy, now);
+    }
+    auto& event = std::get<link_event>(arrived);
+    this->local_executor.refuse_unstarted(event.peer.host, event.connection,
+                                          std::get<forward_message>(std::move(event.content)),
+                                          result_code::node_busy, now);
 }
 
 bool node_core::start_next(time_point now) {
--- a/libraries/node/request_router.hpp
+++ b/libraries/node/request_router.hpp
@@ -66,6 +66,8 @@
     request_router(node_context& shared, executor& own_executor);
 
     void on_request(listener_request&& request, time_point now);
+    /// Answers a request for which no call was created.
+    void reject_request(listener_request const& request, result_code code, time_point now);
     void on_disconnect(listener_side side, std::uint64_t listener_request_id, time_point now);
     void on_answer(std::string const& from, answer_message&& answer, time_point now);
     /// Resends, retries or finishes every call that was in flight on the connection.
@@ -133,8 +135,6 @@
     /// Stores the host report and the admission fractions that came with an answer.
     void record_reports(pending_call const& call, std::string const& from, answer_message const& answer,
                         time_point now);
-    /// Answers a request for which no call was created.
-    void reject_request(listener_request const& request, result_code code, time_point now);
     void finish_with_error(pending_call& call, call_error error, time_point now);
     /// Updates the goodput of the route that admission of its next requests depends on.
     void record_outcome(pending_call const& call, answer_message const& answer, time_point now);
