--- /dev/null
+++ b/tests/http/broken_answers_test.cpp
@@ -0,0 +1,196 @@
+/// Answers of a faulty target that can't be read in exactly one way are never delivered, and every sound
+/// answer is.
+
+#include "http/scripted_target.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+#include <string_view>
+#include <unistd.h>
+#include <vector>
+
+using namespace caraway;
+using namespace caraway::tests;
+
+namespace {
+
+/// The id and the integrity field of an answer to the request "r1".
+std::string const own_fields = "Id: r1\r\nMark: m\r\n";
+std::string const own_head = "HTTP/1.1 200 OK\r\n" + own_fields;
+
+std::uint16_t next_port() {
+    static std::uint16_t port = static_cast<std::uint16_t>(22'500 + ::getpid() % 1000);
+    return ++port;
+}
+
+/// The head of a sound answer with one more line, and its body.
+std::string with_line(std::string const& line) {
+    return own_head + line + "\r\nContent-Length: 4\r\n\r\nbody";
+}
+
+std::string with_status_line(std::string const& line) {
+    return line + "\r\n" + own_fields + "Content-Length: 4\r\n\r\nbody";
+}
+
+std::string with_framing(std::string const& fields, std::string const& bytes) {
+    return own_head + fields + "\r\n" + bytes;
+}
+
+std::string chunked(std::string const& bytes) {
+    return with_framing("Transfer-Encoding: chunked\r\n", bytes);
+}
+
+/// The answer of the client to one request, whose target sends the bytes and closes the connection.
+target_answer answer_to(std::string const& bytes) {
+    auto const port = next_port();
+    scripted_target const target(port, {bytes});
+    strict_client client(port);
+    return client.ask("r1");
+}
+
+void check_refused(std::string const& bytes) {
+    CAPTURE(bytes);
+    auto const answer = answer_to(bytes);
+    CHECK(answer.code != result_code::ok);
+    CHECK(answer.result == outcome::unknown);
+    CHECK(answer.headers.empty());
+    CHECK(answer.body.empty());
+}
+
+target_answer check_delivered(std::string const& bytes, std::string const& body) {
+    CAPTURE(bytes);
+    auto const answer = answer_to(bytes);
+    CHECK(answer.code == result_code::ok);
+    CHECK(answer.result == outcome::ran);
+    CHECK(answer.status == 200);
+    CHECK(answer.body == body);
+    return answer;
+}
+
+std::string field_of(target_answer const& answer, std::string_view name) {
+    auto const found = std::ranges::find(answer.headers, name, &header_field::name);
+    return found == answer.headers.end() ? "(none)" : found->value;
+}
+
+bool is_control(char byte) {
+    auto const code = static_cast<unsigned char>(byte);
+    return code < 0x20 || code == 0x7f;
+}
+
+} // namespace
+
+TEST_CASE("an answer with a byte in a field's name that no name may hold is refused") {
+    std::string const separators = " \"(),/;<=>?@[\\]{}";
+    for (int code = 0; code <= 0xff; ++code) {
+        auto const byte = static_cast<char>(code);
+        if (!is_control(byte) && code < 0x80 && separators.find(byte) == std::string::npos) {
+            continue;
+        }
+        CAPTURE(code);
+        check_refused(with_line(std::string("Na") + byte + "me: x"));
+        check_refused(with_line(std::string("Name") + byte + ": x"));
+    }
+    check_refused(with_line(": x"));
+    check_refused(with_line("Name"));
+    check_refused("HTTP/1.1 200 OK\r\n Name: x\r\n" + own_fields + "Content-Length: 4\r\n\r\nbody");
+}
+
+TEST_CASE("an answer with a control byte in a value or in its reason is refused") {
+    for (int code = 0; code <= 0x7f; ++code) {
+        auto const byte = static_cast<char>(code);
+        if (!is_control(byte) || byte == '\t') {
+            continue;
+        }
+        CAPTURE(code);
+        check_refused(with_line(std::string("Name: a") + byte + "b"));
+        check_refused(with_status_line(std::string("HTTP/1.1 200 O") + byte + "K"));
+    }
+}
+
+TEST_CASE("an answer whose first line has another form is refused") {
+    for (auto const* line :
+         {"HTTP/0.9 200 OK",  "HTTP/1.2 200 OK",  "HTTP/2.0 200 OK",  "HTTP/1 200 OK",   "http/1.1 200 OK",
+          "HTTP/11 200 OK",   "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", "HTTP/1.1 2 OK",   "HTTP/1.1 20 OK",
+          "HTTP/1.1 2000 OK", "HTTP/1.1 20x OK",  "HTTP/1.1 -20 OK",  "HTTP/1.1 +20 OK", "HTTP/1.1 OK",
+          "HTTP/1.1 200",     "200 OK",           " HTTP/1.1 200 OK", "ICY 200 OK",      "GET / HTTP/1.1"}) {
+        check_refused(with_status_line(line));
+    }
+    check_refused("HTTP/1.1 200 OK\n" + own_fields + "Content-Length: 4\r\n\r\nbody");
+    check_refused("\r\n" + own_head + "Content-Length: 4\r\n\r\nbody");
+}
+
+TEST_CASE("an answer whose length can be read in several ways is refused") {
+    for (auto const* fields :
+         {"Content-Length: 4\r\nContent-Length: 3\r\n", "Content-Length: 4, 3\r\n", "Content-Length: -4\r\n",
+          "Content-Length: +4\r\n", "Content-Length: 0x4\r\n", "Content-Length: 4 4\r\n",
+          "Content-Length: four\r\n", "Content-Length:\r\n", "Content-Length: 18446744073709551620\r\n",
+          "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n", "Transfer-Encoding: gzip\r\n",
+          "Transfer-Encoding: identity\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+          "Transfer-Encoding: chunked, gzip\r\n",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding:\r\n"}) {
+        check_refused(with_framing(fields, "4\r\nbody\r\n0\r\n\r\n"));
+    }
+}
+
+TEST_CASE("an answer with a broken chunk is refused") {
+    for (auto const* bytes :
+         {"g\r\nbody\r\n0\r\n\r\n", "\r\nbody\r\n0\r\n\r\n", " 4\r\nbody\r\n0\r\n\r\n",
+          "0x4\r\nbody\r\n0\r\n\r\n", "-4\r\nbody\r\n0\r\n\r\n", "4\nbody\r\n0\r\n\r\n", "4\r\nbody0\r\n\r\n",
+          "4\r\nbodybody\r\n0\r\n\r\n", "10000000000000004\r\nbody\r\n0\r\n\r\n",
+          "4;a b\r\nbody\r\n0\r\n\r\n", "4\r\nbody\r\n0\r\nName\r\n\r\n",
+          "4\r\nbody\r\n0\r\nNa me: x\r\n\r\n", "4\r\nbody\r\n", "4\r\nbo"}) {
+        check_refused(chunked(bytes));
+    }
+}
+
+TEST_CASE("an answer with any final status is delivered, whether it is registered or not") {
+    constexpr unsigned int first_status = 200;
+    constexpr unsigned int last_status = 599;
+    std::vector<std::string> script;
+    for (auto status = first_status; status <= last_status; ++status) {
+        bool const has_body = status != 204 && status != 304;
+        script.push_back("HTTP/1.1 " + std::to_string(status) + " \r\n" +
+                         (has_body ? "Content-Length: 4\r\n\r\nbody" : "\r\n"));
+    }
+    auto const port = next_port();
+    scripted_target const target(port, script);
+    sequential_client client(port);
+    for (auto status = first_status; status <= last_status; ++status) {
+        auto const answer =
+            client.send({.method = "GET", .path = "/", .deadline = monotonic_clock::now() + duration{5000}});
+        CHECK(answer.code == result_code::ok);
+        CHECK(answer.status == status);
+    }
+    CHECK(target.connections == 1);
+}
+
+TEST_CASE("an answer with rare but sound fields is delivered as it was sent") {
+    std::string const token = "!#$%&'*+-.^_`|~0123456789ABCXYZabcxyz";
+    CHECK(field_of(check_delivered(with_line(token + ": x"), "body"), token) == "x");
+    CHECK(field_of(check_delivered(with_line("Name: caf\xc3\xa9 \xff"), "body"), "Name") ==
+          "caf\xc3\xa9 \xff");
+    CHECK(field_of(check_delivered(with_line("Name: a\tb  c"), "body"), "Name") == "a\tb  c");
+    CHECK(field_of(check_delivered(with_line("Name:\t x \t"), "body"), "Name") == "x");
+    CHECK(field_of(check_delivered(with_line("Name:x"), "body"), "Name") == "x");
+    CHECK(field_of(check_delivered(with_line("Name:"), "body"), "Name").empty());
+    CHECK(field_of(check_delivered(with_line("Name: \t"), "body"), "Name").empty());
+    auto const twice = check_delivered(with_line("Name: a\r\nName: b"), "body");
+    CHECK(std::ranges::count(twice.headers, "Name", &header_field::name) == 2);
+    check_delivered(with_status_line("HTTP/1.1 200 "), "body");
+    check_delivered(with_status_line("HTTP/1.1 200 tr\xc3\xa8s\tbien"), "body");
+}
+
+TEST_CASE("an answer is delivered whole in each form that states where its body ends") {
+    check_delivered(own_head + "\r\nup to the end", "up to the end");
+    check_delivered(own_head + "\r\n", "");
+    check_delivered(own_head + "Content-Length: 0\r\n\r\n", "");
+    check_delivered("HTTP/1.0 200 OK\r\n" + own_fields + "\r\nold", "old");
+    check_delivered("HTTP/1.0 200 OK\r\n" + own_fields + "Content-Length: 3\r\n\r\nold", "old");
+    check_delivered(chunked("4\r\nbody\r\n0\r\n\r\n"), "body");
+    check_delivered(chunked("2;a=b;c=\"d e\"\r\nbo\r\n02 ; x\r\ndy\r\n000;last\r\n\r\n"), "body");
+    check_delivered(chunked("0\r\n\r\n"), "");
+    check_delivered(chunked("4\r\nbody\r\n0\r\nDigest: d\r\nEmpty:\r\n\r\n"), "body");
+}
