http: Refuse answers with a status that no answer may have

What callers saw: a target's status 000, 001, 099, 600 or 999 came through as the answer, sealed and with its body. The target also drew load, since every place that judges it takes a status below 500 for success.

Cause: Beast's parser accepts any three digits and leaves their range to its user; nobody checked it.

Change: strict_response_parser, on Beast's documented base class, refuses a status outside 200 to 599 while it reads the first line. So the answer never becomes one: its request ends like one whose answer can't be read (502, outcome unknown, the connection closed, a failure of the target, a second attempt where that is allowed). Requests, health checks and skipped late answers read with it. Status 101 is refused as well: no request asks for another protocol.

--- /dev/null
+++ b/libraries/http/strict_response_parser.cpp
@@ -0,0 +1,54 @@
+#include "http/strict_response_parser.hpp"
+
+#include <boost/beast/http/error.hpp>
+
+namespace caraway {
+
+namespace http = boost::beast::http;
+
+strict_response_parser::strict_response_parser(response_limits limits) {
+    this->header_limit(static_cast<std::uint32_t>(limits.header));
+    this->body_limit(limits.body);
+}
+
+void strict_response_parser::on_request_impl(http::verb, string_view, string_view, int, error_code&) {}
+
+void strict_response_parser::on_response_impl(int status, string_view reason, int version,
+                                              error_code& error) {
+    auto const code = static_cast<unsigned int>(status);
+    if (!is_final_status(code)) {
+        error = http::error::bad_status;
+        return;
+    }
+    this->response.result(code);
+    this->response.reason(reason);
+    this->response.version(static_cast<unsigned int>(version));
+}
+
+void strict_response_parser::on_field_impl(http::field field, string_view name, string_view value,
+                                           error_code&) {
+    this->response.insert(field, name, value);
+}
+
+void strict_response_parser::on_header_impl(error_code&) {}
+
+void strict_response_parser::on_body_init_impl(boost::optional<std::uint64_t> const& length, error_code&) {
+    if (length) {
+        this->response.body().reserve(static_cast<std::size_t>(*length));
+    }
+}
+
+std::size_t strict_response_parser::on_body_impl(string_view bytes, error_code&) {
+    this->response.body().append(bytes.data(), bytes.size());
+    return bytes.size();
+}
+
+void strict_response_parser::on_chunk_header_impl(std::uint64_t, string_view, error_code&) {}
+
+std::size_t strict_response_parser::on_chunk_body_impl(std::uint64_t, string_view bytes, error_code& error) {
+    return this->on_body_impl(bytes, error);
+}
+
+void strict_response_parser::on_finish_impl(error_code&) {}
+
+} // namespace caraway
--- /dev/null
+++ b/libraries/http/strict_response_parser.hpp
@@ -0,0 +1,56 @@
+/// Parser for HTTP/1.1 responses that refuses what can't be read in exactly one way (RFC 9110, RFC 9112).
+///
+/// Boost.Beast leaves some of this to its user: it accepts any three digits as a status.
+#pragma once
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstddef>
+#include <cstdint>
+
+namespace caraway {
+
+/// Whether a response with this status can be the answer to a request (RFC 9110, section 15).
+constexpr bool is_final_status(unsigned int status) {
+    constexpr unsigned int first_final_status = 200;
+    constexpr unsigned int last_final_status = 599;
+    return status >= first_final_status && status <= last_final_status;
+}
+
+/// In bytes.
+struct response_limits {
+    std::size_t header{0};
+    std::size_t body{0};
+};
+
+/// Every reader of responses uses it with Beast's read operations; a refused response is their error.
+class strict_response_parser : public boost::beast::http::basic_parser<false> {
+public:
+    using response_type = boost::beast::http::response<boost::beast::http::string_body>;
+
+    explicit strict_response_parser(response_limits limits);
+
+    response_type release() { return std::move(this->response); }
+
+private:
+    using error_code = boost::beast::error_code;
+    using string_view = boost::beast::string_view;
+
+    void on_request_impl(boost::beast::http::verb method, string_view method_text, string_view target,
+                         int version, error_code& error) override;
+    void on_response_impl(int status, string_view reason, int version, error_code& error) override;
+    void on_field_impl(boost::beast::http::field field, string_view name, string_view value,
+                       error_code& error) override;
+    void on_header_impl(error_code& error) override;
+    void on_body_init_impl(boost::optional<std::uint64_t> const& length, error_code& error) override;
+    std::size_t on_body_impl(string_view bytes, error_code& error) override;
+    void on_chunk_header_impl(std::uint64_t size, string_view extensions, error_code& error) override;
+    std::size_t on_chunk_body_impl(std::uint64_t remaining, string_view bytes, error_code& error) override;
+    void on_finish_impl(error_code& error) override;
+
+    response_type response;
+};
+
+} // namespace caraway
--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -3,6 +3,7 @@
 #include "base/clock.hpp"
 #include "http/header_rules.hpp"
 #include "http/idle_socket.hpp"
+#include "http/strict_response_parser.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -252,9 +253,8 @@
     }
 
     void read() {
-        this->parser.emplace();
-        this->parser->header_limit(static_cast<std::uint32_t>(this->client.options.max_header));
-        this->parser->body_limit(this->client.options.max_body);
+        this->parser.emplace(response_limits{.header = this->client.options.max_header,
+                                             .body = this->client.options.max_body});
         if (this->outgoing.method() == http::verb::head) {
             this->parser->skip(true);
         }
@@ -434,7 +434,7 @@
     target_request request;
     std::unique_ptr<target_connection> connection;
     http::request<http::string_body> outgoing;
-    std::optional<http::response_parser<http::string_body>> parser;
+    std::optional<strict_response_parser> parser;
     asio::steady_timer wait_timer;
     bool is_waiting{false};  ///< For a connection that another call uses.
     bool was_written{false}; ///< The target may have got it.
--- a/tests/http/broken_answers_test.cpp
+++ b/tests/http/broken_answers_test.cpp
@@ -194,3 +194,47 @@
     check_delivered(chunked("0\r\n\r\n"), "");
     check_delivered(chunked("4\r\nbody\r\n0\r\nDigest: d\r\nEmpty:\r\n\r\n"), "body");
 }
+
+// A target in trouble answered with status 000, and its caller got that as an answer.
+TEST_CASE(
+    "an answer with a status that no answer may have is refused, and its connection is not used again") {
+    for (std::string const status : {"000", "001", "010", "042", "099", "101", "199", "600", "700", "999"}) {
+        for (std::string const method : {"GET", "POST"}) {
+            CAPTURE(status);
+            CAPTURE(method);
+            auto const port = next_port();
+            auto const first_line = "HTTP/1.1 " + status + " Odd";
+            auto const sound = answer_text("200 OK", own_fields, "own");
+            scripted_target const target(port, {with_status_line(first_line), sound}, {sound});
+            strict_client client(port);
+            auto const refused = client.ask("r1", method);
+            CHECK(refused.code == result_code::target_malformed);
+            CHECK(refused.result == outcome::unknown);
+            CHECK_FALSE(refused.statement);
+            CHECK(client.ask("r1", method).body == "own");
+            CHECK(target.connections == 2);
+        }
+    }
+}
+
+TEST_CASE("a health check that is answered with a status that no answer may have tells nothing") {
+    for (std::string const status : {"000", "099", "600", "999"}) {
+        CAPTURE(status);
+        auto const port = next_port();
+        scripted_target const target(port,
+                                     {answer_text(status + " Odd", "Answering: i-1\r\nCold: 900\r\n", "")});
+        strict_client client(port);
+        auto const checked = client.send({.method = "GET",
+                                          .path = "/health",
+                                          .deadline = monotonic_clock::now() + duration{3000},
+                                          .instance = "i-1",
+                                          .is_health_check = true});
+        CHECK(checked.code == result_code::target_malformed);
+        CHECK_FALSE(checked.statement);
+    }
+}
+
+TEST_CASE("a late answer to another request is not skipped if its status is one that no answer may have") {
+    std::string const late = "HTTP/1.1 000 Odd\r\nId: r0\r\nMark: m\r\nContent-Length: 0\r\n\r\n";
+    check_refused(late + with_line("Name: x"));
+}
--- a/tests/standins/target_standin.cpp
+++ b/tests/standins/target_standin.cpp
@@ -192,6 +192,9 @@
         co_return this->state_health();
     }
     this->record_request(request);
+    if (this->behaviour.faulty_status) {
+        co_return make_response(*this->behaviour.faulty_status, "broken");
+    }
     bool const crashes_target =
         query_has(target, "crash") || request.body().find("crash") != std::string::npos;
     if (crashes_target) {
--- a/tests/standins/target_standin.hpp
+++ b/tests/standins/target_standin.hpp
@@ -12,6 +12,7 @@
 #include <deque>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,8 @@
     std::string egress_address; ///< The egress listener of the target's own node.
     std::uint16_t egress_port{0};
     double restart_ms{300}; ///< How long it is unavailable after a crash.
+    /// Every request is answered at once with this status, which may be none that HTTP knows.
+    std::optional<unsigned int> faulty_status;
 };
 
 class target_standin {
