http: Refuse answers with a folded line

What callers saw: a line of the head that begins with a blank or a tab was joined to the value before it, so that the answer, 200 and sealed, held a value that was not the target's; a folded Content-Length went the same way, and the body was read up to the end of the connection.

Cause: Beast's parser replaces obsolete folds by a blank. RFC 9112 (5.2) leaves a gateway the choice between that and 502; our callers are promised the target's answer unchanged, so only 502 keeps the promise.

Change: the strict parser compares where a value begins with the end of its name's line: a joined value is not there. No byte of the head is read twice, and nothing is kept for it. A change of the library's buffers would refuse answers, which the tests of sound ones show.

--- a/libraries/http/strict_response_parser.cpp
+++ b/libraries/http/strict_response_parser.cpp
@@ -6,6 +6,20 @@
 
 namespace http = boost::beast::http;
 
+namespace {
+
+/// Whether the value is on the same line as its name. Beast joins the lines of a folded value in a buffer of
+/// its own, and otherwise passes name and value as parts of one buffer.
+bool is_on_one_line(boost::beast::string_view name, boost::beast::string_view value) {
+    char const* position = name.data() + name.size() + 1; // Behind the colon.
+    while (*position == ' ' || *position == '\t') {
+        ++position;
+    }
+    return position == value.data();
+}
+
+} // namespace
+
 strict_response_parser::strict_response_parser(response_limits limits) {
     this->header_limit(static_cast<std::uint32_t>(limits.header));
     this->body_limit(limits.body);
@@ -26,7 +40,11 @@
 }
 
 void strict_response_parser::on_field_impl(http::field field, string_view name, string_view value,
-                                           error_code&) {
+                                           error_code& error) {
+    if (!is_on_one_line(name, value)) {
+        error = http::error::bad_obs_fold;
+        return;
+    }
     this->response.insert(field, name, value);
 }
 
--- a/libraries/http/strict_response_parser.hpp
+++ b/libraries/http/strict_response_parser.hpp
@@ -1,6 +1,7 @@
 /// Parser for HTTP/1.1 responses that refuses what can't be read in exactly one way (RFC 9110, RFC 9112).
 ///
-/// Boost.Beast leaves some of this to its user: it accepts any three digits as a status.
+/// Boost.Beast leaves some of this to its user: it accepts any three digits as a status, and joins the lines
+/// of a folded value.
 #pragma once
 
 #include <boost/beast/http/basic_parser.hpp>
--- a/tests/http/broken_answers_test.cpp
+++ b/tests/http/broken_answers_test.cpp
@@ -2,6 +2,9 @@
 /// answer is.
 
 #include "http/scripted_target.hpp"
+#include "http/strict_response_parser.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
 
 #include <doctest/doctest.h>
 
@@ -74,6 +77,25 @@
     return found == answer.headers.end() ? "(none)" : found->value;
 }
 
+/// Whether the parser takes the bytes for a whole response when they arrive in pieces of this size.
+bool is_parsed_in_pieces(std::string const& bytes, std::size_t piece_size) {
+    strict_response_parser parser({.header = 4096, .body = 4096});
+    parser.eager(true); // As the read operations do.
+    boost::beast::flat_buffer buffer;
+    boost::system::error_code error;
+    for (std::size_t first = 0; first < bytes.size() && !parser.is_done(); first += piece_size) {
+        auto const piece = std::string_view(bytes).substr(first, piece_size);
+        auto const room = buffer.prepare(piece.size());
+        std::ranges::copy(piece, static_cast<char*>(room.data()));
+        buffer.commit(piece.size());
+        buffer.consume(parser.put(buffer.data(), error));
+        if (error && error != boost::beast::http::error::need_more) {
+            return false;
+        }
+    }
+    return parser.is_done();
+}
+
 bool is_control(char byte) {
     auto const code = static_cast<unsigned char>(byte);
     return code < 0x20 || code == 0x7f;
@@ -238,3 +260,34 @@
     std::string const late = "HTTP/1.1 000 Odd\r\nId: r0\r\nMark: m\r\nContent-Length: 0\r\n\r\n";
     check_refused(late + with_line("Name: x"));
 }
+
+// A line that began with a blank was joined to the value before it, so that callers got a value, or with a
+// folded Content-Length a body, that was not the target's.
+TEST_CASE("an answer with a line that begins with a blank or a tab is refused") {
+    for (std::string const blank : {" ", "\t", "  ", " \t "}) {
+        check_refused(with_line("Name: a\r\n" + blank + "b"));
+        check_refused(with_line("Name: a\r\n" + blank + "Other: b"));
+        check_refused(with_line("Name: a\r\n" + blank));
+        check_refused(with_line("Name:\r\n" + blank + "a"));
+        check_refused(with_line("Name:\r\n" + blank));
+        check_refused(with_line("Name:\r\n" + blank + "\r\n" + blank + "a"));
+        check_refused("HTTP/1.1 200 OK\r\nMark: m\r\nId:\r\n" + blank +
+                      "r1\r\nContent-Length: 4\r\n\r\nbody");
+        check_refused(own_head + blank + "Content-Length: 4\r\n\r\nbody, and more");
+        check_refused(own_head + "Content-Length:\r\n" + blank + "4\r\n\r\nbody");
+        check_refused(chunked("4\r\nbody\r\n0\r\nName: a\r\n" + blank + "b\r\n\r\n"));
+    }
+}
+
+TEST_CASE("an answer is read or refused in the same way when it arrives in pieces") {
+    auto const sound = with_line("Name:\ta \tb \t");
+    auto const sound_chunks = chunked("4\r\nbody\r\n0\r\nName: a\r\n\r\n");
+    for (std::size_t size = 1; size <= sound.size(); ++size) {
+        CAPTURE(size);
+        CHECK(is_parsed_in_pieces(sound, size));
+        CHECK(is_parsed_in_pieces(sound_chunks, size));
+        CHECK_FALSE(is_parsed_in_pieces(with_line("Name: a\r\n b"), size));
+        CHECK_FALSE(is_parsed_in_pieces(with_line("Name:\r\n\ta"), size));
+        CHECK_FALSE(is_parsed_in_pieces(with_status_line("HTTP/1.1 000 Odd"), size));
+    }
+}
