http: Keep the fields of a trailer apart from those of the header

What callers saw: an answer whose id or seal came only behind the last chunk was delivered as theirs. A "not run" there was told to callers as the promise that the request had not run, after a whole body of an answer had been sent. Other fields of a trailer were passed on as fields of the head, a second seal among them, and a statement there (limit, leaving) was believed.

Cause: Beast's parser adds the fields of a trailer to the message; RFC 9110 (6.5.1) forbids to merge them unless a field's definition allows it.

Change: the strict parser checks the fields of a trailer like all others, and discards them.

Chunked answers with sound trailers are delivered as before, without these fields.

--- a/libraries/http/strict_response_parser.cpp
+++ b/libraries/http/strict_response_parser.cpp
@@ -45,6 +45,9 @@
         error = http::error::bad_obs_fold;
         return;
     }
+    if (this->is_in_trailer) {
+        return;
+    }
     this->response.insert(field, name, value);
 }
 
@@ -61,7 +64,9 @@
     return bytes.size();
 }
 
-void strict_response_parser::on_chunk_header_impl(std::uint64_t, string_view, error_code&) {}
+void strict_response_parser::on_chunk_header_impl(std::uint64_t size, string_view, error_code&) {
+    this->is_in_trailer = size == 0;
+}
 
 std::size_t strict_response_parser::on_chunk_body_impl(std::uint64_t, string_view bytes, error_code& error) {
     return this->on_body_impl(bytes, error);
--- a/libraries/http/strict_response_parser.hpp
+++ b/libraries/http/strict_response_parser.hpp
@@ -1,7 +1,7 @@
 /// Parser for HTTP/1.1 responses that refuses what can't be read in exactly one way (RFC 9110, RFC 9112).
 ///
-/// Boost.Beast leaves some of this to its user: it accepts any three digits as a status, and joins the lines
-/// of a folded value.
+/// Boost.Beast leaves some of this to its user: it accepts any three digits as a status, joins the lines of a
+/// folded value, and adds the fields of a trailer to those of the header.
 #pragma once
 
 #include <boost/beast/http/basic_parser.hpp>
@@ -52,6 +52,7 @@
     void on_finish_impl(error_code& error) override;
 
     response_type response;
+    bool is_in_trailer{false}; ///< Its fields are discarded (RFC 9110, section 6.5.1).
 };
 
 } // namespace caraway
--- a/tests/http/broken_answers_test.cpp
+++ b/tests/http/broken_answers_test.cpp
@@ -291,3 +291,26 @@
         CHECK_FALSE(is_parsed_in_pieces(with_status_line("HTTP/1.1 000 Odd"), size));
     }
 }
+
+// Fields of a trailer were taken for fields of the head: a trailer could make another target's bytes an
+// answer of the request, or state that a request had not run whose answer had been sent.
+TEST_CASE("fields behind the last chunk neither decide over an answer nor are passed on") {
+    auto const with_trailer = [](std::string const& first_line, std::string const& fields,
+                                 std::string const& trailer) {
+        return first_line + "\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" +
+               trailer + "\r\n";
+    };
+    std::string const ok = "HTTP/1.1 200 OK";
+    check_refused(with_trailer(ok, "Id: r1\r\n", "Mark: m\r\n"));
+    check_refused(with_trailer(ok, "Mark: m\r\n", "Id: r1\r\n"));
+    check_refused(with_trailer("HTTP/1.1 503 Full", own_fields, "Untouched: 1\r\n"));
+    auto const stated = check_delivered(with_trailer(ok, own_fields, "Untouched: 1\r\n"), "body");
+    CHECK(field_of(stated, "Untouched") == "(none)");
+    auto const whole = check_delivered(
+        with_trailer(ok, own_fields + "Name: a\r\n", "Name: b\r\nMark: n\r\nX-Caraway-Leaving: 1\r\n"),
+        "body");
+    CHECK(std::ranges::count(whole.headers, "Name", &header_field::name) == 1);
+    CHECK(std::ranges::count(whole.headers, "Mark", &header_field::name) == 1);
+    REQUIRE(whole.statement);
+    CHECK_FALSE(whole.statement->leaving);
+}
