http: Skip interim responses of targets

What callers saw: an interim response of a target as their final answer, with "Content-Length: 0"; with their id and seal missing from it, as is usual, 502 in place of the sound answer that followed. A health check was judged by an interim response as well.

Cause: Beast's parser ends a message at the end of an interim header, and leaves it to its user to read on (RFC 9110, 15.2: a client has to be able to do so even if it expects none). The client took the first whole message for the answer.

Change: response_reader prepares a new parser after each interim response, whatever its header states, and is done with the final one. Interim responses are not passed on. A cancelled call does not start a further read.

--- a/libraries/http/strict_response_parser.cpp
+++ b/libraries/http/strict_response_parser.cpp
@@ -20,7 +20,8 @@
 
 } // namespace
 
-strict_response_parser::strict_response_parser(response_limits limits) {
+strict_response_parser::strict_response_parser(response_limits limits, accepted_statuses accepted_ones)
+    : accepted(accepted_ones) {
     this->header_limit(static_cast<std::uint32_t>(limits.header));
     this->body_limit(limits.body);
 }
@@ -30,7 +31,9 @@
 void strict_response_parser::on_response_impl(int status, string_view reason, int version,
                                               error_code& error) {
     auto const code = static_cast<unsigned int>(status);
-    if (!is_final_status(code)) {
+    bool const is_expected_interim =
+        this->accepted == accepted_statuses::interim_and_final && is_interim_status(code);
+    if (!is_final_status(code) && !is_expected_interim) {
         error = http::error::bad_status;
         return;
     }
--- a/libraries/http/strict_response_parser.hpp
+++ b/libraries/http/strict_response_parser.hpp
@@ -20,18 +20,31 @@
     return status >= first_final_status && status <= last_final_status;
 }
 
+/// Whether a response with this status precedes the final one on its connection. Status 101 ends HTTP on it,
+/// which no request of ours asks for.
+constexpr bool is_interim_status(unsigned int status) {
+    constexpr unsigned int interim_class = 1;
+    constexpr unsigned int switching_protocols = 101;
+    return status / 100 == interim_class && status != switching_protocols;
+}
+
+enum class accepted_statuses : std::uint8_t { final_only, interim_and_final };
+
 /// In bytes.
 struct response_limits {
     std::size_t header{0};
     std::size_t body{0};
 };
 
-/// Every reader of responses uses it with Beast's read operations; a refused response is their error.
+/// For Beast's read operations, whose error a refused response is. `response_reader` parses with it.
 class strict_response_parser : public boost::beast::http::basic_parser<false> {
 public:
     using response_type = boost::beast::http::response<boost::beast::http::string_body>;
 
-    explicit strict_response_parser(response_limits limits);
+    strict_response_parser(response_limits limits, accepted_statuses accepted);
+
+    /// Whether the response that has been read is followed by another one to the same request.
+    bool is_interim() const { return is_interim_status(this->response.result_int()); }
 
     response_type release() { return std::move(this->response); }
 
@@ -51,6 +64,7 @@
     std::size_t on_chunk_body_impl(std::uint64_t remaining, string_view bytes, error_code& error) override;
     void on_finish_impl(error_code& error) override;
 
+    accepted_statuses accepted;
     response_type response;
     bool is_in_trailer{false}; ///< Its fields are discarded (RFC 9110, section 6.5.1).
 };
--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -3,7 +3,7 @@
 #include "base/clock.hpp"
 #include "http/header_rules.hpp"
 #include "http/idle_socket.hpp"
-#include "http/strict_response_parser.hpp"
+#include "http/response_reader.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -81,7 +81,9 @@
 class target_call : public std::enable_shared_from_this<target_call> {
 public:
     target_call(target_client& owner, target_request&& new_request)
-        : client(owner), request(std::move(new_request)), wait_timer(owner.context) {}
+        : client(owner), request(std::move(new_request)),
+          reader({.header = owner.options.max_header, .body = owner.options.max_body}),
+          wait_timer(owner.context) {}
 
     void start() {
         if (!this->has_time_left()) {
@@ -253,16 +255,22 @@
     }
 
     void read() {
-        this->parser.emplace(response_limits{.header = this->client.options.max_header,
-                                             .body = this->client.options.max_body});
-        if (this->outgoing.method() == http::verb::head) {
-            this->parser->skip(true);
+        this->reader.start(this->outgoing.method() == http::verb::head);
+        this->read_more();
+    }
+
+    void read_more() {
+        if (this->was_cancelled) {
+            return this->finish(outcome::unknown, result_code::cancelled);
         }
-        http::async_read(this->connection->stream, this->connection->buffer, *this->parser,
+        http::async_read(this->connection->stream, this->connection->buffer, this->reader.parser(),
                          [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
                              if (error) {
                                  return self->fail_after_send(error);
                              }
+                             if (!self->reader.is_done()) {
+                                 return self->read_more();
+                             }
                              self->on_response();
                          });
     }
@@ -308,7 +316,7 @@
     }
 
     void on_response() {
-        auto response = this->parser->release();
+        auto response = this->reader.release();
         auto const& dialect = this->client.options.dialect;
         if (has_ambiguous_framing(response)) {
             return this->finish(outcome::unknown, result_code::target_malformed);
@@ -434,7 +442,7 @@
     target_request request;
     std::unique_ptr<target_connection> connection;
     http::request<http::string_body> outgoing;
-    std::optional<strict_response_parser> parser;
+    response_reader reader;
     asio::steady_timer wait_timer;
     bool is_waiting{false};  ///< For a connection that another call uses.
     bool was_written{false}; ///< The target may have got it.
