platform: Read the platform's answers as strictly as those of targets

What was seen: an answer with a folded line or in a coding that is not read was used; after an interim response each answer was refused, for as long as the platform sent them, so that no document came in; an era in a trailer was believed; a body behind status 000, 101 or 600 was read whole and its connection used again.

Cause: the platform client had a parser of its own, and what is left to the parser's user was written for the target client alone.

Change: it reads with response_reader. The check of contradicting lengths and codings moves from the target client into the strict parser, which refuses such an answer at the end of its header.

--- a/libraries/http/strict_response_parser.cpp
+++ b/libraries/http/strict_response_parser.cpp
@@ -1,5 +1,6 @@
 #include "http/strict_response_parser.hpp"
 
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 
 namespace caraway {
@@ -18,6 +19,15 @@
     return position == value.data();
 }
 
+/// Whether another parser could see another end of the body.
+bool has_ambiguous_framing(strict_response_parser::response_type const& response) {
+    auto const codings = response.count(http::field::transfer_encoding);
+    auto const lengths = response.count(http::field::content_length);
+    bool const is_chunked =
+        codings == 1 && boost::beast::iequals(response[http::field::transfer_encoding], "chunked");
+    return lengths > 1 || (codings > 0 && (!is_chunked || lengths > 0));
+}
+
 } // namespace
 
 strict_response_parser::strict_response_parser(response_limits limits, accepted_statuses accepted_ones)
@@ -54,7 +64,11 @@
     this->response.insert(field, name, value);
 }
 
-void strict_response_parser::on_header_impl(error_code&) {}
+void strict_response_parser::on_header_impl(error_code& error) {
+    if (!this->is_interim() && has_ambiguous_framing(this->response)) {
+        error = http::error::bad_transfer_encoding;
+    }
+}
 
 void strict_response_parser::on_body_init_impl(boost::optional<std::uint64_t> const& length, error_code&) {
     if (length) {
--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -48,15 +48,6 @@
 /// With fewer calls in progress, a request opens a connection at once: none is likely to become free in time.
 constexpr std::size_t min_calls_to_wait = 4;
 
-/// Whether another parser could see another end of the body.
-bool has_ambiguous_framing(http::response<http::string_body> const& response) {
-    auto const codings = response.count(http::field::transfer_encoding);
-    auto const lengths = response.count(http::field::content_length);
-    bool const is_chunked =
-        codings == 1 && boost::beast::iequals(response[http::field::transfer_encoding], "chunked");
-    return lengths > 1 || (codings > 0 && (!is_chunked || lengths > 0));
-}
-
 } // namespace
 
 class target_connection {
@@ -318,9 +309,6 @@
     void on_response() {
         auto response = this->reader.release();
         auto const& dialect = this->client.options.dialect;
-        if (has_ambiguous_framing(response)) {
-            return this->finish(outcome::unknown, result_code::target_malformed);
-        }
         if (this->request.is_health_check) {
             return this->on_health_response(response);
         }
--- a/libraries/platform/platform_client.cpp
+++ b/libraries/platform/platform_client.cpp
@@ -1,6 +1,7 @@
 #include "platform/platform_client.hpp"
 
 #include "http/idle_socket.hpp"
+#include "http/response_reader.hpp"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/post.hpp>
@@ -13,7 +14,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <optional>
 #include <utility>
 
 namespace caraway {
@@ -23,10 +23,10 @@
 
 namespace {
 
-constexpr std::uint32_t max_header_bytes = 16'384;
+constexpr std::size_t max_header_bytes = 16'384;
 /// Several changes of values of one megabyte, each as JSON text with room for escape sequences: a watch
 /// returns all that came since the last one.
-constexpr std::uint64_t max_body_bytes = 12'000'000;
+constexpr std::size_t max_body_bytes = 12'000'000;
 /// Most bytes that are held unparsed; the parser limits neither the line before a chunk nor the trailer.
 constexpr std::size_t max_unparsed_bytes = 65'536;
 /// How much longer than its timeout a call may last while its answer goes on arriving.
@@ -117,9 +117,7 @@
 
     void write() {
         this->limit_time();
-        this->parser.emplace();
-        this->parser->header_limit(max_header_bytes);
-        this->parser->body_limit(max_body_bytes);
+        this->reader.start();
         http::async_write(this->connection->stream, this->request,
                           [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
                               if (error) {
@@ -132,12 +130,12 @@
     void read_more() {
         this->limit_time();
         http::async_read_some(
-            this->connection->stream, this->connection->buffer, *this->parser,
+            this->connection->stream, this->connection->buffer, this->reader.parser(),
             [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
                 if (error) {
                     return self->resend_or_fail(error);
                 }
-                if (!self->parser->is_done()) {
+                if (!self->reader.is_done()) {
                     return self->read_more();
                 }
                 self->finish();
@@ -151,7 +149,7 @@
     }
 
     void resend_or_fail(boost::system::error_code error) {
-        if (!is_closed_by_peer(error) || this->parser->got_some() || this->resends == max_resends) {
+        if (!is_closed_by_peer(error) || this->reader.got_some() || this->resends == max_resends) {
             return this->fail(error);
         }
         ++this->resends;
@@ -165,7 +163,7 @@
     }
 
     void finish() {
-        auto response = this->parser->release();
+        auto response = this->reader.release();
         platform_reply reply{.status = response.result_int(), .body = std::move(response.body())};
         for (auto const& field : response) {
             reply.headers.push_back({std::string(field.name_string()), std::string(field.value())});
@@ -194,7 +192,7 @@
     platform_client::reply_handler handler;
     std::unique_ptr<platform_connection> connection;
     http::request<http::empty_body> request;
-    std::optional<http::response_parser<http::string_body>> parser;
+    response_reader reader{{.header = max_header_bytes, .body = max_body_bytes}};
     int resends{0};
 };
 
