http: State no length in answers that have no body

What callers saw: a target's 204 came with "Content-Length: 0", which a 204 must not have, and so did 304 and the answer to a HEAD request, whose field would state the length of the answer to a GET (RFC 9110, 8.6).

Cause: a target's framing is dropped, rightly, and the listener framed every answer anew as one that has a body. Beast states a length of 0 for these, and throws where such a status has a body; a link's message could bring that, and it would end the process.

Change: 204, 304 and a bodiless answer to HEAD are written as a header alone; a body beside 204 or 304 is left out. An answer of our own to HEAD goes on stating its length.

--- a/libraries/http/http_session.cpp
+++ b/libraries/http/http_session.cpp
@@ -96,6 +96,11 @@
     return !has_not_run && dialect.means_not_run(answer.status) ? 502 : answer.status;
 }
 
+/// Whether a response with this status ends with its header (RFC 9112, section 6.3).
+bool has_no_content(http::status status) {
+    return status == http::status::no_content || status == http::status::not_modified;
+}
+
 } // namespace
 
 http_session::http_session(http_listener& owner, boost::asio::ip::tcp::socket socket)
@@ -327,8 +332,11 @@
             reply.set("Retry-After", retry_after_text(metadata->retry_after_ms, dialect));
         }
     }
-    reply.body() = std::move(answer.body);
     reply.keep_alive(keep_alive);
+    if (has_no_content(reply.result()) || (request.is_head && answer.body.empty())) {
+        return reply; // Without a length: none may be stated, or that of the answer to a GET is not known.
+    }
+    reply.body() = std::move(answer.body);
     reply.prepare_payload();
     if (request.is_head) {
         reply.body().clear();
--- a/tests/http/dialect_test.cpp
+++ b/tests/http/dialect_test.cpp
@@ -165,6 +165,34 @@
     CHECK(answer_of(reply).status == 504);
 }
 
+// Callers got "Content-Length: 0" with such an answer: one must not have the field, and in the others it
+// states the length that a GET would have been answered with.
+TEST_CASE("an answer that has no body states no length, and the next one follows on its connection") {
+    auto const read_head = [](test_client& client, std::string const& method) {
+        REQUIRE(client.send_raw(method + " /a HTTP/1.1\r\nHost: x\r\n\r\n"));
+        return client.read_head();
+    };
+    for (unsigned int const status : {204U, 304U}) {
+        CAPTURE(status);
+        answering_listener fixture({.status = static_cast<std::uint16_t>(status), .body = "to be left out"});
+        test_client client("127.0.0.1", fixture.port);
+        auto const first_line = "HTTP/1.1 " + std::to_string(status) + " ";
+        for (int count = 0; count < 2; ++count) {
+            auto const head = read_head(client, "GET");
+            CHECK(head.starts_with(first_line));
+            CHECK(head.find("Content-Length") == std::string::npos);
+            CHECK(head.find("Transfer-Encoding") == std::string::npos);
+        }
+    }
+    answering_listener bodiless({.status = 200});
+    test_client client("127.0.0.1", bodiless.port);
+    CHECK(read_head(client, "HEAD").find("Content-Length") == std::string::npos);
+    CHECK(read_head(client, "GET").find("Content-Length: 0\r\n") != std::string::npos);
+    answering_listener refusing({.status = 503, .body = "overloaded\n"});
+    test_client other("127.0.0.1", refusing.port);
+    CHECK(read_head(other, "HEAD").find("Content-Length: 11\r\n") != std::string::npos);
+}
+
 TEST_CASE("the listener reads the dialect's fields and passes on only the hash of the key") {
     answering_listener fixture({.status = 200, .body = "ok"});
     standins::fetch("127.0.0.1", fixture.port, "GET", "/a",
--- a/tests/standins/test_client.cpp
+++ b/tests/standins/test_client.cpp
@@ -1,5 +1,6 @@
 #include "standins/test_client.hpp"
 
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
@@ -93,6 +94,15 @@
     return answer;
 }
 
+std::string test_client::read_head() {
+    std::string text;
+    boost::system::error_code error;
+    if (this->stream) {
+        asio::read_until(this->stream->socket(), asio::dynamic_buffer(text), "\r\n\r\n", error);
+    }
+    return text;
+}
+
 client_answer test_client::request(std::string const& method, std::string const& path,
                                    header_map const& headers, std::string const& body,
                                    std::chrono::milliseconds timeout) {
--- a/tests/standins/test_client.hpp
+++ b/tests/standins/test_client.hpp
@@ -37,6 +37,9 @@
     /// Writes the bytes unchanged, after connecting if needed. False on a connect or write error.
     bool send_raw(std::string const& bytes);
     client_answer read_answer(std::chrono::milliseconds timeout = std::chrono::seconds(10));
+    /// Reads up to the end of a header and returns it as it came; empty if none came whole. Not to be mixed
+    /// with `read_answer` on one connection.
+    std::string read_head();
     void close();
 
 private:
