node: Refuse a peer's answer with a status that no answer may have

While a fleet is replaced, hosts of an older version pass on any status of their target. The host where the request began gave it to its caller (a status of 099 or 600 as it stands), and took everything below 500 for success in its choice of the next host.

Cause: the status in a link's message was trusted, since the sender had read it; the sender's check is only as new as its version.

Change: an answer whose status is outside 200 to 599 counts as one that can't be read: 502, outcome unknown, a failure of its host, a second attempt where that is allowed.

--- a/libraries/http/strict_response_parser.hpp
+++ b/libraries/http/strict_response_parser.hpp
@@ -4,6 +4,8 @@
 /// folded value, and adds the fields of a trailer to those of the header.
 #pragma once
 
+#include "http/status_rules.hpp"
+
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -13,21 +15,6 @@
 
 namespace caraway {
 
-/// Whether a response with this status can be the answer to a request (RFC 9110, section 15).
-constexpr bool is_final_status(unsigned int status) {
-    constexpr unsigned int first_final_status = 200;
-    constexpr unsigned int last_final_status = 599;
-    return status >= first_final_status && status <= last_final_status;
-}
-
-/// Whether a response with this status precedes the final one on its connection. Status 101 ends HTTP on it,
-/// which no request of ours asks for.
-constexpr bool is_interim_status(unsigned int status) {
-    constexpr unsigned int interim_class = 1;
-    constexpr unsigned int switching_protocols = 101;
-    return status / 100 == interim_class && status != switching_protocols;
-}
-
 enum class accepted_statuses : std::uint8_t { final_only, interim_and_final };
 
 /// In bytes.
--- a/libraries/node/request_router.cpp
+++ b/libraries/node/request_router.cpp
@@ -1,6 +1,7 @@
 #include "node/request_router.hpp"
 
 #include "base/digest.hpp"
+#include "http/status_rules.hpp"
 #include "policy/latest_start.hpp"
 
 #include <algorithm>
@@ -36,6 +37,16 @@
            answer.code == result_code::answer_lost;
 }
 
+/// The target's host refuses such an answer itself, unless it runs an older version.
+void reject_invalid_status(answer_message& answer) {
+    if (answer.code != result_code::ok || is_final_status(answer.status)) {
+        return;
+    }
+    answer.result = outcome::unknown;
+    answer.code = result_code::target_malformed;
+    answer.headers.clear();
+}
+
 /// Whether the host beside the target had no room for the request in the target's pace.
 bool is_paced_refusal(result_code code) {
     return code == result_code::target_limited || code == result_code::target_cold;
@@ -659,6 +670,7 @@
         return;
     }
     this->by_call_id.erase(found);
+    reject_invalid_status(answer);
     if (answer.code == result_code::domain_evacuated) {
         this->context.chooser.record_abandoned(from); // Its target had no part in it.
     } else {
--- a/tests/node/simulated_fleet.cpp
+++ b/tests/node/simulated_fleet.cpp
@@ -61,6 +61,7 @@
     std::uint64_t incarnation{0};
     bool serving{false};
     bool crashes_next_run{false};
+    std::uint16_t answer_status{200};
 };
 
 struct simulated_fleet::delivery {
@@ -205,6 +206,10 @@
     this->nodes.at(host)->crashes_next_run = true;
 }
 
+void simulated_fleet::set_answer_status(std::string const& host, std::uint16_t status) {
+    this->nodes.at(host)->answer_status = status;
+}
+
 void simulated_fleet::publish_configuration(item_set const& items) {
     this->configuration = make_bundle_or_throw(items, ++this->revision);
     if (this->platform_is_followed) {
@@ -453,7 +458,7 @@
         answer.code = result_code::target_crashed;
     } else {
         answer.result = outcome::ran;
-        answer.status = 200;
+        answer.status = entry.answer_status;
         answer.statement = entry.statement;
         if (this->target_runs.at(found_index).path == health_path) {
             answer.statement->cold_ms = std::max(duration{0}, entry.cold_until - this->clock).milliseconds;
--- a/tests/node/simulated_fleet.hpp
+++ b/tests/node/simulated_fleet.hpp
@@ -107,6 +107,9 @@
     void set_service_time(std::string const& host, duration span);
     /// The next run at the host's target ends without an answer, and the target refuses connections then.
     void crash_next_run(std::string const& host);
+    /// The status of each later answer of the host's target; the node passes any on, as one of an older
+    /// version does.
+    void set_answer_status(std::string const& host, std::uint16_t status);
     /// Serves a new host list to every live host that is not partitioned.
     void publish_hosts(std::vector<listed_host> hosts);
     /// The same with these evacuated failure domains in place of the former ones.
