--- a/tests/platform/registry_source_test.cpp
+++ b/tests/platform/registry_source_test.cpp
@@ -224,3 +224,23 @@
     watched.registry.put("op/config", configuration_text(4));
     CHECK(watched.wait_for([&] { return watched.configuration_revision() == 4; }));
 }
+
+// One error page with a later era, from whatever answered in place of the registry, made each answer of the
+// registry one of an era that was over.
+TEST_CASE("the era of an answer that failed is not taken for the registry's") {
+    followed_registry watched;
+    REQUIRE(watched.wait_for([&] { return watched.configuration_revision() == 1; }));
+    auto const wait_for_failures = [&watched](int count) {
+        auto const before = watched.failures;
+        REQUIRE(watched.wait_for([&] { return watched.failures >= before + count; }));
+    };
+    watched.registry.set_fault(registry_fault::down);
+    wait_for_failures(2);
+    watched.registry.set_era("999");
+    wait_for_failures(2);
+    watched.registry.set_era("1");
+    watched.registry.set_fault(registry_fault::none);
+    watched.registry.put("op/config", configuration_text(4));
+    CHECK(watched.wait_for([&] { return watched.configuration_revision() == 4; }));
+    CHECK(std::ranges::count(watched.notices, "registry_era_changed") == 0);
+}
