http: Refuse answers whose id, seal or instance is given with two values

What callers saw: an answer with two different ids was delivered if the first was theirs, so that one answer could belong to two requests; one with two different seals came through with both; a health check with two instances told the state of the first.

Cause: of several fields of a name the first was taken, and no field but the length was checked for a second.

Change: where such a field decides over an answer, it may be there again only with the same value; otherwise the answer can't be read.

An answer with the same id and seal twice is delivered as before.

--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -48,6 +48,15 @@
 /// With fewer calls in progress, a request opens a connection at once: none is likely to become free in time.
 constexpr std::size_t min_calls_to_wait = 4;
 
+/// Whether the field is there several times, with different values. An empty name stands for no field.
+bool is_contradictory(http::fields const& header, std::string const& name) {
+    if (name.empty()) {
+        return false;
+    }
+    auto const [first, last] = header.equal_range(name);
+    return std::any_of(first, last, [&](auto const& field) { return field.value() != first->value(); });
+}
+
 } // namespace
 
 class target_connection {
@@ -309,6 +318,14 @@
     void on_response() {
         auto response = this->reader.release();
         auto const& dialect = this->client.options.dialect;
+        bool const is_ambiguous =
+            this->request.is_health_check
+                ? is_contradictory(response, dialect.answering_instance)
+                : is_contradictory(response, dialect.integrity) ||
+                      (dialect.checks_request_id && is_contradictory(response, dialect.request_id));
+        if (is_ambiguous) {
+            return this->finish(outcome::unknown, result_code::target_malformed);
+        }
         if (this->request.is_health_check) {
             return this->on_health_response(response);
         }
--- a/tests/http/broken_answers_test.cpp
+++ b/tests/http/broken_answers_test.cpp
@@ -365,3 +365,23 @@
     REQUIRE(checked.statement);
     CHECK(checked.statement->cold_ms == 900.0);
 }
+
+// The first of two ids, seals or instances decided, so that one answer belonged to two requests.
+TEST_CASE("an answer whose deciding fields contradict each other is refused") {
+    for (std::string const first : {"Id: r1\r\nId: r0\r\nMark: m\r\n", "Id: r0\r\nId: r1\r\nMark: m\r\n",
+                                    "Id: r1\r\nMark: m\r\nMark: n\r\n", "Id: r1\r\nId:\r\nMark: m\r\n"}) {
+        check_refused("HTTP/1.1 200 OK\r\n" + first + "Content-Length: 4\r\n\r\nbody");
+    }
+    check_delivered(with_line("Id: r1\r\nMark: m"), "body");
+    auto const port = next_port();
+    scripted_target const target(
+        port, {answer_text("200 OK", "Answering: i-1\r\nAnswering: i-2\r\nX-Caraway-Cold-Ms: 900\r\n", "")});
+    strict_client client(port);
+    auto const checked = client.send({.method = "GET",
+                                      .path = "/health",
+                                      .deadline = monotonic_clock::now() + duration{3000},
+                                      .instance = "i-1",
+                                      .is_health_check = true});
+    CHECK(checked.code == result_code::target_malformed);
+    CHECK_FALSE(checked.statement);
+}
