http: Believe a target that says among other things that it is leaving

What was seen: a target whose answers state "0" and "1" about leaving was taken as one that stays, and got requests.

Cause: of several fields only the first was read.

Change: one of them is enough, as the lowest of several limits counts already.

Evidence: the new case of target_statement_test.cpp failed in 1 check before, and passes with the rest of test_http (67 cases).

--- a/libraries/http/target_statement.cpp
+++ b/libraries/http/target_statement.cpp
@@ -96,8 +96,11 @@
         statement.has_unreadable_rate_limit = first != last && !statement.rate_limit;
     }
     if (!dialect.target_leaving.empty()) {
-        auto const value = header[dialect.target_leaving];
-        statement.leaving = trimmed({value.data(), value.size()}) == leaving_value;
+        auto const [first, last] = header.equal_range(dialect.target_leaving);
+        statement.leaving = std::any_of(first, last, [](auto const& field) {
+            auto const value = field.value();
+            return trimmed({value.data(), value.size()}) == leaving_value;
+        });
     }
     if (!dialect.target_cold.empty()) {
         auto const value = header[dialect.target_cold];
--- a/libraries/http/target_statement.hpp
+++ b/libraries/http/target_statement.hpp
@@ -30,8 +30,8 @@
 };
 
 /// Reads the fields that the dialect names. A rate or time is a finite decimal number that is not negative;
-/// of several rates the lowest counts. A load has three or four figures, none negative; an unreadable fourth
-/// one is ignored.
+/// of several rates the lowest counts. Of several statements about leaving one is enough. A load has three or
+/// four figures, none negative; an unreadable fourth one is ignored.
 target_statement read_target_statement(http_dialect const& dialect, boost::beast::http::fields const& header);
 
 } // namespace caraway
--- a/tests/http/target_statement_test.cpp
+++ b/tests/http/target_statement_test.cpp
@@ -12,14 +12,14 @@
 
 namespace {
 
-target_statement read(std::vector<std::string> const& limits, std::string const& leaving = {}) {
+target_statement read(std::vector<std::string> const& limits, std::vector<std::string> const& leaving = {}) {
     http_dialect const dialect{.target_rate_limit = "Limit", .target_leaving = "Leaving"};
     boost::beast::http::fields header;
     for (auto const& limit : limits) {
         header.insert("Limit", limit);
     }
-    if (!leaving.empty()) {
-        header.set("Leaving", leaving);
+    for (auto const& value : leaving) {
+        header.insert("Leaving", value);
     }
     return read_target_statement(dialect, header);
 }
@@ -50,11 +50,17 @@
 }
 
 TEST_CASE("only the value 1 states that the target is leaving") {
-    CHECK(read({}, "1").leaving);
-    CHECK_FALSE(read({}, "0").leaving);
+    CHECK(read({}, {"1"}).leaving);
+    CHECK_FALSE(read({}, {"0"}).leaving);
     CHECK_FALSE(read({}).leaving);
 }
 
+TEST_CASE("of several statements about leaving one is enough") {
+    CHECK(read({}, {"0", "1"}).leaving);
+    CHECK(read({}, {"1", "0"}).leaving);
+    CHECK_FALSE(read({}, {"0", "2"}).leaving);
+}
+
 TEST_CASE("a remaining cold time that is negative or no number says nothing") {
     auto const cold_ms = [](std::string const& value) {
         boost::beast::http::fields header;
