platform: Take no value of a field that is given with two

What was seen: of two eras in one answer the first counted; a later one made each further answer one of an era that is over.

Cause: the first field of a name was taken for the only one.

--- a/libraries/platform/platform_client.cpp
+++ b/libraries/platform/platform_client.cpp
@@ -44,10 +44,17 @@
 } // namespace
 
 std::string platform_reply::header(std::string_view name) const {
-    auto const found = std::ranges::find_if(this->headers, [name](header_field const& field) {
-        return boost::beast::iequals(field.name, boost::beast::string_view(name.data(), name.size()));
-    });
-    return found == this->headers.end() ? std::string{} : found->value;
+    header_field const* found = nullptr;
+    for (auto const& field : this->headers) {
+        if (!boost::beast::iequals(field.name, boost::beast::string_view(name.data(), name.size()))) {
+            continue;
+        }
+        if (found != nullptr && found->value != field.value) {
+            return {};
+        }
+        found = &field;
+    }
+    return found == nullptr ? std::string{} : found->value;
 }
 
 class platform_connection {
--- a/libraries/platform/platform_client.hpp
+++ b/libraries/platform/platform_client.hpp
@@ -30,7 +30,7 @@
     std::string failure() const {
         return this->status == 0 ? this->error : "status " + std::to_string(this->status);
     }
-    /// The value of the field, or an empty text.
+    /// The value of the field; empty if it is missing, or there several times with different values.
     std::string header(std::string_view name) const;
 };
 
--- a/tests/platform/broken_answers_test.cpp
+++ b/tests/platform/broken_answers_test.cpp
@@ -133,6 +133,18 @@
     CHECK(reply.header("Store-Era").empty());
 }
 
+// The first of two eras counted, and a later one made every further answer of the platform one of the past.
+TEST_CASE("a field of the platform's answer that is given with two values has none") {
+    for (std::string const second : {"1", "9"}) {
+        CAPTURE(second);
+        answering_platform platform(
+            with_head("Store-Era: 1\r\nstore-era: " + second + "\r\nContent-Length: 4\r\n") + "body");
+        auto const reply = platform.get();
+        CHECK(reply.is_ok());
+        CHECK(reply.header("Store-Era") == (second == "1" ? "1" : ""));
+    }
+}
+
 TEST_CASE("a sound answer of the platform is used in each form") {
     for (auto const& answer : {sound, chunked(""), std::string("HTTP/1.1 200 OK\r\n\r\nbody"),
                                std::string("HTTP/1.0 200 \r\nName:\r\nOdd: caf\xc3\xa9\r\n\r\nbody")}) {
