carawayctl: Read nodes with the client that reads the platform

What operators saw: carawayctl took a body with status 000, 099, 206 or 299, an empty one with 101, 204 or 304, and answers with a folded line, a blank or control byte in a name, or two lengths, for a node's status or configuration.

Cause: Qt's client accepts these, and only its error was looked at, which knows statuses from 300 on.

Change: http_get uses platform_client, and so the strict parser, and takes status 200 alone. Its limits stay (64 MiB, 3 s without a byte, 20 s in all); they are parameters of the client now, with the platform's as defaults.

--- a/libraries/platform/platform_client.cpp
+++ b/libraries/platform/platform_client.cpp
@@ -24,13 +24,8 @@
 namespace {
 
 constexpr std::size_t max_header_bytes = 16'384;
-/// Several changes of values of one megabyte, each as JSON text with room for escape sequences: a watch
-/// returns all that came since the last one.
-constexpr std::size_t max_body_bytes = 12'000'000;
 /// Most bytes that are held unparsed; the parser limits neither the line before a chunk nor the trailer.
 constexpr std::size_t max_unparsed_bytes = 65'536;
-/// How much longer than its timeout a call may last while its answer goes on arriving.
-constexpr duration max_transfer_time{5000};
 /// A platform may close a connection, or cut a watch that waits on it, before it has begun to answer.
 constexpr int max_resends = 1;
 constexpr std::size_t max_idle_connections = 4;
@@ -70,7 +65,8 @@
 public:
     platform_call(platform_client& owner, std::string const& path, duration limit,
                   platform_client::reply_handler result_handler)
-        : client(owner), resolver(owner.loop.context()), timeout(limit), handler(std::move(result_handler)) {
+        : client(owner), resolver(owner.loop.context()), timeout(limit), handler(std::move(result_handler)),
+          reader({.header = max_header_bytes, .body = owner.limits.max_body}) {
         this->request.version(http_version);
         this->request.method(http::verb::get);
         this->request.target(owner.path_prefix + path);
@@ -78,7 +74,7 @@
     }
 
     void start() {
-        this->ends_at = monotonic_clock::now() + this->timeout + max_transfer_time;
+        this->ends_at = monotonic_clock::now() + this->timeout + this->client.limits.max_transfer_time;
         this->connection = this->client.acquire_idle();
         if (this->connection != nullptr) {
             return this->write();
@@ -199,11 +195,12 @@
     platform_client::reply_handler handler;
     std::unique_ptr<platform_connection> connection;
     http::request<http::empty_body> request;
-    response_reader reader{{.header = max_header_bytes, .body = max_body_bytes}};
+    response_reader reader;
     int resends{0};
 };
 
-platform_client::platform_client(std::string const& base_url) {
+platform_client::platform_client(std::string const& base_url, platform_client_limits initial_limits)
+    : limits(initial_limits) {
     constexpr int default_port = 80;
     QUrl const url(QString::fromStdString(base_url));
     this->host = url.host().toStdString();
--- a/libraries/platform/platform_client.hpp
+++ b/libraries/platform/platform_client.hpp
@@ -8,6 +8,7 @@
 
 #include <QObject>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -34,6 +35,14 @@
     std::string header(std::string_view name) const;
 };
 
+struct platform_client_limits {
+    /// Several changes of values of one megabyte, each as JSON text with room for escape sequences: a watch
+    /// returns all that came since the last one.
+    std::size_t max_body{12'000'000};
+    /// How much longer than its timeout a call may last while its answer goes on arriving.
+    duration max_transfer_time{5000};
+};
+
 class platform_call;
 class platform_connection;
 
@@ -42,14 +51,14 @@
     using reply_handler = std::function<void(platform_reply const&)>;
 
     /// `base_url` precedes every path: `http://HOST:PORT`, and a path if the service has one.
-    explicit platform_client(std::string const& base_url);
+    explicit platform_client(std::string const& base_url, platform_client_limits initial_limits = {});
     ~platform_client();
     platform_client(platform_client const&) = delete;
     platform_client& operator=(platform_client const&) = delete;
 
     /// The handler gets the reply, whether it succeeded or failed, unless the client is destroyed before. The
-    /// request fails when nothing arrives for `timeout`, or when the answer is not complete a few seconds
-    /// after it might have begun.
+    /// request fails when nothing arrives for `timeout`, or when the answer is not complete
+    /// `max_transfer_time` after it might have begun.
     void get(std::string const& path, duration timeout, reply_handler handler);
 
     /// Requests sent so far; a watch that waits at the platform is one request.
@@ -64,6 +73,7 @@
     std::string host;
     std::string port;
     std::string path_prefix;
+    platform_client_limits limits;
     QObject receiver; ///< Handlers run on its thread, and not after its end.
     event_loop_thread loop;
     bool is_running{false};
--- a/tests/utilities/configuration_check_test.cpp
+++ b/tests/utilities/configuration_check_test.cpp
@@ -2,10 +2,10 @@
 
 #include "config/bundle.hpp"
 #include "configuration_check.hpp"
+#include "utilities/application.hpp"
 
 #include <doctest/doctest.h>
 
-#include <QCoreApplication>
 #include <QTcpServer>
 #include <QTcpSocket>
 
@@ -17,17 +17,10 @@
 #include <unistd.h>
 
 using namespace caraway;
+using caraway::tests::application;
 
 namespace {
 
-QCoreApplication& application() {
-    static int count = 1;
-    static char name[] = "test";
-    static char* arguments[] = {name, nullptr};
-    static QCoreApplication instance(count, arguments);
-    return instance;
-}
-
 constexpr int failed_with_a_problem = -1;
 
 int run(command_line const& line) {
--- a/utilities/carawayctl/http_get.hpp
+++ b/utilities/carawayctl/http_get.hpp
@@ -7,7 +7,8 @@
 
 namespace caraway {
 
-/// Returns the body of the answer; fails with io_failed when there is no answer within a few seconds.
+/// Returns the body of an answer with status 200, of at most 64 MiB. Fails with io_failed when none has come
+/// within 20 s, or nothing at all for 3 s. Runs a Qt event loop.
 result<std::string> http_get(std::string const& url);
 
 } // namespace caraway
