--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -53,8 +53,9 @@
     if (name.empty()) {
         return false;
     }
-    auto const [first, last] = header.equal_range(name);
-    return std::any_of(first, last, [&](auto const& field) { return field.value() != first->value(); });
+    auto const fields = header.equal_range(name);
+    return std::any_of(fields.first, fields.second,
+                       [&fields](auto const& field) { return field.value() != fields.first->value(); });
 }
 
 } // namespace
