http: Name what ends a read of a response by what it does

response_reader::is_done prepared the next parser after an interim response, which its name hid; it is finish_read now. Comments say who reads with the class, and carawayctl's time limit is stated as a whole.

--- a/libraries/http/response_reader.cpp
+++ b/libraries/http/response_reader.cpp
@@ -15,7 +15,7 @@
     this->prepare_parser();
 }
 
-bool response_reader::is_done() {
+bool response_reader::finish_read() {
     if (!this->current->is_done()) {
         return false;
     }
--- a/libraries/http/response_reader.hpp
+++ b/libraries/http/response_reader.hpp
@@ -1,4 +1,5 @@
-/// Reads the final responses on one connection, and skips the interim ones before each.
+/// Reads the final responses on one connection, and skips the interim ones before each. Whatever reads
+/// responses does it with this class, so that all accept the same.
 #pragma once
 
 #include "http/strict_response_parser.hpp"
@@ -14,11 +15,12 @@
     /// Prepares for the next final response. One to a HEAD request has no body, whatever its header states.
     void start(bool is_head_request = false);
 
-    /// For Beast's read operations; after each that has ended without an error, `is_done` is to be called.
+    /// For Beast's read operations; after each that has ended without an error, `finish_read` is to be
+    /// called.
     strict_response_parser& parser() { return *this->current; }
 
-    /// Whether the final response has been read whole; if not, more is to be read.
-    bool is_done();
+    /// Returns whether the final response has been read whole; if not, more is to be read.
+    bool finish_read();
 
     /// Whether anything of the response, or of an interim one before it, has been read.
     bool got_some() const { return this->interim_responses > 0 || this->current->got_some(); }
--- a/libraries/http/strict_response_parser.hpp
+++ b/libraries/http/strict_response_parser.hpp
@@ -23,7 +23,8 @@
     std::size_t body{0};
 };
 
-/// For Beast's read operations, whose error a refused response is. `response_reader` parses with it.
+/// Used with Beast's read operations, which report a refused response as their error. Reads one response,
+/// interim or final; `response_reader` joins them.
 class strict_response_parser : public boost::beast::http::basic_parser<false> {
 public:
     using response_type = boost::beast::http::response<boost::beast::http::string_body>;
--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -269,7 +269,7 @@
                              if (error) {
                                  return self->fail_after_send(error);
                              }
-                             if (!self->reader.is_done()) {
+                             if (!self->reader.finish_read()) {
                                  return self->read_more();
                              }
                              self->on_response();
--- a/libraries/platform/platform_client.cpp
+++ b/libraries/platform/platform_client.cpp
@@ -138,7 +138,7 @@
                 if (error) {
                     return self->resend_or_fail(error);
                 }
-                if (!self->reader.is_done()) {
+                if (!self->reader.finish_read()) {
                     return self->read_more();
                 }
                 self->finish();
--- a/libraries/platform/platform_client.hpp
+++ b/libraries/platform/platform_client.hpp
@@ -1,5 +1,6 @@
-/// The HTTP client for the platform, built on Boost.Beast. It sends only GET requests, since it may resend
-/// one. It keeps its connections and runs on an event loop of its own; handlers run on the Qt event loop.
+/// The HTTP client for the platform, built on Boost.Beast; `carawayctl` reads nodes with it, too. It sends
+/// only GET requests, since it may resend one. It keeps its connections and runs on an event loop of its own;
+/// handlers run on the Qt event loop.
 #pragma once
 
 #include "base/clock.hpp"
--- a/utilities/carawayctl/http_get.cpp
+++ b/utilities/carawayctl/http_get.cpp
@@ -12,8 +12,8 @@
 namespace {
 
 constexpr duration silence_timeout{3000};
-constexpr platform_client_limits limits{.max_body = std::size_t{64} * 1024 * 1024,
-                                        .max_transfer_time = duration{17'000}};
+constexpr duration timeout{20'000};
+constexpr std::size_t max_body_bytes = 64 * 1024 * 1024;
 
 } // namespace
 
@@ -21,7 +21,7 @@
     if (QUrl(QString::fromStdString(url)).host().isEmpty()) {
         return fail({result_code::io_failed, url + " names no host."});
     }
-    platform_client client(url, limits);
+    platform_client client(url, {.max_body = max_body_bytes, .max_transfer_time = timeout - silence_timeout});
     QEventLoop loop;
     std::optional<platform_reply> received;
     client.get("", silence_timeout, [&](platform_reply const& reply) {
