--- a/tests/http/broken_answers_test.cpp
+++ b/tests/http/broken_answers_test.cpp
@@ -248,11 +248,7 @@
         scripted_target const target(port,
                                      {answer_text(status + " Odd", "Answering: i-1\r\nCold: 900\r\n", "")});
         strict_client client(port);
-        auto const checked = client.send({.method = "GET",
-                                          .path = "/health",
-                                          .deadline = monotonic_clock::now() + duration{3000},
-                                          .instance = "i-1",
-                                          .is_health_check = true});
+        auto const checked = client.check_health();
         CHECK(checked.code == result_code::target_malformed);
         CHECK_FALSE(checked.statement);
     }
@@ -356,11 +352,7 @@
                                  {"HTTP/1.1 103 Early Hints\r\nAnswering: i-2\r\n\r\n" +
                                   answer_text("200 OK", "Answering: i-1\r\nX-Caraway-Cold-Ms: 900\r\n", "")});
     strict_client client(port);
-    auto const checked = client.send({.method = "GET",
-                                      .path = "/health",
-                                      .deadline = monotonic_clock::now() + duration{3000},
-                                      .instance = "i-1",
-                                      .is_health_check = true});
+    auto const checked = client.check_health();
     CHECK(checked.status == 200);
     REQUIRE(checked.statement);
     CHECK(checked.statement->cold_ms == 900.0);
@@ -377,11 +369,7 @@
     scripted_target const target(
         port, {answer_text("200 OK", "Answering: i-1\r\nAnswering: i-2\r\nX-Caraway-Cold-Ms: 900\r\n", "")});
     strict_client client(port);
-    auto const checked = client.send({.method = "GET",
-                                      .path = "/health",
-                                      .deadline = monotonic_clock::now() + duration{3000},
-                                      .instance = "i-1",
-                                      .is_health_check = true});
+    auto const checked = client.check_health();
     CHECK(checked.code == result_code::target_malformed);
     CHECK_FALSE(checked.statement);
 }
--- a/tests/http/dialect_test.cpp
+++ b/tests/http/dialect_test.cpp
@@ -240,11 +240,7 @@
     auto const own = answer_text("200 OK", "Id: r1\r\nMark: m\r\n", "own");
     scripted_target target(port, {refusal, health + own}, {own});
     strict_client client(port);
-    auto const checked = client.send({.method = "GET",
-                                      .path = "/health",
-                                      .deadline = monotonic_clock::now() + duration{3000},
-                                      .instance = "i-1",
-                                      .is_health_check = true});
+    auto const checked = client.check_health();
     CHECK(checked.code == result_code::target_replaced);
     CHECK(client.ask("r1").body == "own");
 }
--- a/tests/http/scripted_target.hpp
+++ b/tests/http/scripted_target.hpp
@@ -101,6 +101,14 @@
                            .instance = "i-1",
                            .idempotent = idempotent});
     }
+    /// Asks the instance "i-1" for its health.
+    target_answer check_health() {
+        return this->send({.method = "GET",
+                           .path = "/health",
+                           .deadline = monotonic_clock::now() + duration{3000},
+                           .instance = "i-1",
+                           .is_health_check = true});
+    }
 };
 
 } // namespace caraway::tests
--- a/tests/platform/followed_registry.hpp
+++ b/tests/platform/followed_registry.hpp
@@ -4,8 +4,8 @@
 #include "platform/registry_source.hpp"
 #include "standins/fault_proxy.hpp"
 #include "standins/registry_standin.hpp"
+#include "support/application.hpp"
 
-#include <QCoreApplication>
 #include <QElapsedTimer>
 
 #include <doctest/doctest.h>
@@ -21,20 +21,13 @@
 
 using caraway::standins::registry_fault;
 using caraway::standins::registry_standin;
+using caraway::tests::application;
 
 inline std::uint16_t next_port() {
     static std::uint16_t port = static_cast<std::uint16_t>(25'000 + ::getpid() % 1000);
     return ++port;
 }
 
-inline QCoreApplication& application() {
-    static int count = 1;
-    static char name[] = "test";
-    static char* arguments[] = {name, nullptr};
-    static QCoreApplication instance(count, arguments);
-    return instance;
-}
-
 inline std::string entry_text(int number, std::string const& state = "ready", int sequence = 1) {
     return R"({"service":"front","address":"10.0.0.)" + std::to_string(number) +
            R"(:8080","zone":"north","slots":5,"born":1700000000000,"state":")" + state + R"(","seq":)" +
--- a/tests/utilities/broken_answers_test.cpp
+++ b/tests/utilities/broken_answers_test.cpp
@@ -1,7 +1,7 @@
 /// Answers of a node, or of something at its address, that say nothing.
 
 #include "http_get.hpp"
-#include "utilities/application.hpp"
+#include "support/application.hpp"
 
 #include <doctest/doctest.h>
 
--- a/tests/utilities/configuration_check_test.cpp
+++ b/tests/utilities/configuration_check_test.cpp
@@ -2,7 +2,7 @@
 
 #include "config/bundle.hpp"
 #include "configuration_check.hpp"
-#include "utilities/application.hpp"
+#include "support/application.hpp"
 
 #include <doctest/doctest.h>
 
