--- a/tests/http/broken_answers_test.cpp
+++ b/tests/http/broken_answers_test.cpp
@@ -245,8 +245,8 @@
     for (std::string const status : {"000", "099", "600", "999"}) {
         CAPTURE(status);
         auto const port = next_port();
-        scripted_target const target(port,
-                                     {answer_text(status + " Odd", "Answering: i-1\r\nCold: 900\r\n", "")});
+        scripted_target const target(
+            port, {answer_text(status + " Odd", "Answering: i-1\r\nX-Caraway-Cold-Ms: 900\r\n", "")});
         strict_client client(port);
         auto const checked = client.check_health();
         CHECK(checked.code == result_code::target_malformed);
