tests: Make sure that the faulty target is reached in the test of status 000

The test sent its requests one after the other, and where each goes then depends on the draw of the choice.

--- a/tests/node/broken_answers_test.cpp
+++ b/tests/node/broken_answers_test.cpp
@@ -43,6 +43,7 @@
         }
         CHECK(served > request_count);
         auto const faulty_runs = std::ranges::count(fleet.runs(), faulty_host, &target_run::host);
+        CHECK(faulty_runs > 0);
         CHECK(static_cast<std::size_t>(faulty_runs) * 3 < fleet.runs().size());
     }
 }
