--- a/libraries/config/settings.cpp
+++ b/libraries/config/settings.cpp
@@ -180,6 +180,8 @@
     parsed.max_connections = size_limit("max_connections", parsed.max_connections);
     parsed.max_requests = size_limit("max_requests", parsed.max_requests);
     parsed.idle_timeout_ms = reader.get_or<double>("limits", "idle_timeout_ms", parsed.idle_timeout_ms);
+    parsed.header_timeout_ms = reader.get_or<double>("limits", "header_timeout_ms", parsed.header_timeout_ms);
+    parsed.memory_mb = size_limit("memory_mb", parsed.memory_mb);
     parsed.max_pipeline = size_limit("max_pipeline", parsed.max_pipeline);
     parsed.drain_ms = reader.get_or<double>("limits", "drain_ms", parsed.drain_ms);
     parsed.rate_shards = static_cast<std::uint8_t>(
--- a/libraries/config/settings.hpp
+++ b/libraries/config/settings.hpp
@@ -85,6 +85,8 @@
     std::size_t max_connections{4096};
     std::size_t max_requests{8192};
     double idle_timeout_ms{30'000};
+    double header_timeout_ms{10'000};
+    std::size_t memory_mb{256}; ///< That the host gives the process.
     std::size_t max_pipeline{1};
     double drain_ms{60'000};     ///< The longest time from the start of a drain until the process exits.
     std::uint8_t rate_shards{4}; ///< Pools into which a failure domain's part of each rate is split.
--- a/tests/standins/http_service.cpp
+++ b/tests/standins/http_service.cpp
@@ -4,6 +4,12 @@
 
 using asio::ip::tcp;
 
+namespace {
+
+constexpr std::uint64_t max_body_bytes = 80'000'000;
+
+} // namespace
+
 http_response make_response(unsigned int status, std::string body) {
     http_response response(static_cast<http::status>(status), 11);
     response.body() = std::move(body);
@@ -87,7 +93,7 @@
     socket->set_option(tcp::no_delay(true), error);
     while (!error) {
         http::request_parser<http::string_body> parser;
-        parser.body_limit(16'777'216);
+        parser.body_limit(max_body_bytes);
         co_await http::async_read(*socket, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             break;
--- a/tests/standins/test_client.cpp
+++ b/tests/standins/test_client.cpp
@@ -67,7 +67,7 @@
         return answer;
     }
     http::response_parser<http::string_body> parser;
-    parser.body_limit(64'000'000);
+    parser.body_limit(80'000'000);
     boost::system::error_code failure;
     bool done = false;
     this->stream->expires_after(timeout);
