http, node: Draw the bodies of requests from one budget of the process

What callers saw: clients that sent bodies and stopped just short of their end, in any framing, ended the process of a host, and with it the requests of everybody else there.

Cause: each connection bounds its header, body and buffer, and nothing bounds their sum. Every place that a request passes held a copy of its own, and a body that grows by doubling is there twice for a moment.

Change: memory_budget is one account of the bytes that a process holds for others, of limits.memory_mb (which the platform states) less 56 MB for the process itself. Whatever holds bytes draws a memory_charge first, which moves along with them. A body grows by reallocation, which remaps large blocks, and is shared by whoever handles the request afterwards (message_body).

A request that finds no room is refused by 503, not run, with Retry-After, and its connection ends: first one that has brought nothing for two seconds or less than 16 KiB/s since then, then the largest one where a small one needs the room, else the one that asks. None of its bytes has reached a target, so "not run" is true. A forwarded request whose body found no room at the other host is refused as not run there. Lingering connections need no buffer of their own any more. malloc gets a fixed threshold for mapped blocks, or it would keep what a crowd had used.

--- a/libraries/config/schema.cpp
+++ b/libraries/config/schema.cpp
@@ -85,7 +85,7 @@
      "Idle or half-read connections are closed."},
     {"limits", "header_timeout_ms", number, 100, 600'000, false, "ms",
      "Connections whose header has not come whole this long after its first byte are closed."},
-    {"limits", "memory_mb", number, 96, 1'048'576, false, "MB",
+    {"limits", "memory_mb", number, 16, 1'048'576, false, "MB",
      "Memory that the host gives the process. What it holds for others stays within it."},
     {"limits", "max_pipeline", number, 1, 64, false, "requests",
      "Requests of one connection that are worked on together."},
--- a/libraries/http/http_listener.cpp
+++ b/libraries/http/http_listener.cpp
@@ -21,7 +21,6 @@
 /// Interval of the check for timed-out connections, as a fraction of the idle timeout.
 constexpr double sweep_interval_fraction = 0.125;
 constexpr double max_sweep_interval_ms = 1000;
-
 } // namespace
 
 http_listener::http_listener(listener_settings initial_options, listener_events handlers,
@@ -31,6 +30,11 @@
       answers(2 * options.max_connections + spare_answer_slots) {
     this->answers.set_wake_callback(
         [this] { asio::post(this->context, [this] { this->deliver_queued(); }); });
+    if (this->options.memory != nullptr) {
+        this->options.memory->add_reclaimer(
+            held_for::requests,
+            [this](memory_budget::claimant const& wanting) { return this->refuse_arriving(wanting); });
+    }
 }
 
 http_listener::~http_listener() {
@@ -73,6 +77,34 @@
     });
 }
 
+bool http_listener::refuse_arriving(memory_budget::claimant const& wanting) {
+    auto const now = monotonic_clock::now();
+    std::shared_ptr<http_session> slowest;
+    std::shared_ptr<http_session> largest;
+    for (auto const& entry : this->sessions) {
+        auto const session = entry.lock();
+        if (session == nullptr || session.get() == wanting.owner || session->arriving_bytes() == 0) {
+            continue;
+        }
+        bool const is_slowest = session->arrives_too_slowly(now) &&
+                                (slowest == nullptr || session->last_progress() < slowest->last_progress());
+        slowest = is_slowest ? session : slowest;
+        bool const is_largest = largest == nullptr || session->arriving_bytes() > largest->arriving_bytes();
+        largest = is_largest ? session : largest;
+    }
+    if (slowest != nullptr) {
+        slowest->refuse_arriving();
+        return true;
+    }
+    // A caller with little to send is not refused for one with much.
+    bool const may_displace = wanting.holding <= small_holding_bytes && largest != nullptr &&
+                              largest->arriving_bytes() > small_holding_bytes;
+    if (may_displace) {
+        largest->refuse_arriving();
+    }
+    return may_displace;
+}
+
 void http_listener::schedule_sweep() {
     auto const interval_ms =
         std::min(max_sweep_interval_ms, this->options.idle_timeout_ms * sweep_interval_fraction);
--- a/libraries/http/http_listener.hpp
+++ b/libraries/http/http_listener.hpp
@@ -10,6 +10,8 @@
 #include "base/clock.hpp"
 #include "base/event_loop_thread.hpp"
 #include "base/header_field.hpp"
+#include "base/memory_budget.hpp"
+#include "base/message_body.hpp"
 #include "base/problem.hpp"
 #include "base/result_code.hpp"
 #include "http/http_dialect.hpp"
@@ -17,6 +19,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <array>
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -38,7 +41,7 @@
     std::string authority; ///< Value of the Host field.
     std::string path;      ///< Includes the query.
     header_list headers;
-    std::string body;
+    message_body body;
     std::string key_sha256;      ///< Empty if the request has no key.
     std::string context_token;   ///< Token of the request that the local target is serving; empty if absent.
     std::string idempotency_key; ///< A caller's ticket; on the egress listener, the target's own key.
@@ -61,7 +64,7 @@
     std::uint64_t id{0};
     std::uint16_t status{500};
     header_list headers;
-    std::string body;
+    message_body body;
     std::optional<answer_metadata> metadata;
 };
 
@@ -73,6 +76,8 @@
     std::size_t max_header{16'384};
     std::size_t max_connections{4096};
     double idle_timeout_ms{30'000};
+    /// What the connections hold is drawn from it; without one it is not bounded.
+    memory_budget* memory{nullptr};
     /// Requests of one connection that are processed concurrently; further ones stay unread.
     std::size_t max_pipeline{1};
     http_dialect dialect;
@@ -111,11 +116,15 @@
     std::size_t unanswered_count() const { return this->unanswered; }
     std::size_t connection_count() const { return *this->open_connections; }
     std::uint64_t unreadable_request_count() const { return this->unreadable_requests; }
+    /// Connections closed for the memory that they held.
+    std::uint64_t displaced_connection_count() const { return this->displaced_connections; }
 
 private:
     friend class http_session;
 
     void accept();
+    /// Refuses a request that is still arriving, of another connection than the claimant.
+    bool refuse_arriving(memory_budget::claimant const& wanting);
     void deliver_queued();
     void deliver_to_session(listener_answer&& value);
     void sweep();
@@ -133,9 +142,11 @@
     /// Shared with the sessions, since a shared event loop may keep them alive longer than the listener.
     std::shared_ptr<std::atomic<std::size_t>> open_connections{std::make_shared<std::atomic<std::size_t>>(0)};
     std::atomic<std::uint64_t> unreadable_requests{0};
+    std::atomic<std::uint64_t> displaced_connections{0};
     std::atomic<std::size_t> unanswered{0};
     std::atomic<bool> draining{false};
     std::uint64_t next_id{1};
+    std::array<char, 16'384> discarded{}; ///< Received from connections that are read no more.
 };
 
 } // namespace caraway
--- a/libraries/http/http_session.cpp
+++ b/libraries/http/http_session.cpp
@@ -3,6 +3,8 @@
 #include "base/digest.hpp"
 #include "http/header_rules.hpp"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -29,13 +31,22 @@
 constexpr std::size_t min_read_buffer_bytes = max_read_ahead_bytes + linger_chunk_bytes;
 /// Time for the peer to close the connection after the last answer.
 constexpr duration linger_timeout{2000};
-
-std::string header_value(http::request<http::string_body> const& request, std::string_view name) {
+constexpr std::size_t min_receive_bytes = 512;
+constexpr std::size_t max_receive_bytes = 65'536;
+/// A body of which so much has arrived is received in larger pieces.
+constexpr std::size_t long_body_bytes = 4096;
+constexpr std::size_t long_body_receive_bytes = 16'384;
+/// What a connection may take without a charge.
+constexpr std::size_t uncharged_bytes = 4096;
+/// For requests that are refused because the node lacks memory.
+constexpr double memory_retry_after_ms = 1000;
+
+std::string header_value(http::request<received_body> const& request, std::string_view name) {
     auto const value = request[boost::beast::string_view(name.data(), name.size())];
     return {value.data(), std::min(value.size(), max_header_value_bytes)};
 }
 
-std::string key_hash(http::request<http::string_body> const& request, http_dialect const& dialect) {
+std::string key_hash(http::request<received_body> const& request, http_dialect const& dialect) {
     auto const value = request[dialect.key];
     std::string_view const text(value.data(), value.size());
     if (!text.starts_with(dialect.key_prefix) || text.size() == dialect.key_prefix.size()) {
@@ -50,7 +61,7 @@
     return parsed.ec == std::errc{} && std::isfinite(number) && number > 0 ? number : 0;
 }
 
-listener_request to_listener_request(http::request<http::string_body>&& request,
+listener_request to_listener_request(http::request<received_body> const& request,
                                      http_dialect const& dialect) {
     listener_request converted;
     converted.method = std::string(request.method_string());
@@ -70,7 +81,6 @@
             converted.headers.push_back({std::string(name), std::string(field.value())});
         }
     }
-    converted.body = std::move(request.body());
     return converted;
 }
 
@@ -106,6 +116,7 @@
 http_session::http_session(http_listener& owner, boost::asio::ip::tcp::socket socket)
     : listener(owner), open_connections(owner.open_connections), stream(std::move(socket)),
       buffer(std::max(min_read_buffer_bytes, owner.options.max_header)),
+      arriving_charge(owner.options.memory, held_for::requests), arrival_progress(monotonic_clock::now()),
       last_activity(monotonic_clock::now()) {
     ++*this->open_connections;
     boost::system::error_code ignored;
@@ -118,25 +129,99 @@
 
 void http_session::read() {
     this->parser.emplace();
+    this->parser->eager(true);
     this->parser->header_limit(static_cast<std::uint32_t>(this->listener.options.max_header));
     this->parser->body_limit(this->listener.options.max_body);
+    this->parsed_bytes = 0;
+    this->reading = true;
+    if (this->buffer.size() == 0) {
+        return this->receive();
+    }
+    boost::asio::post(this->stream.get_executor(),
+                      [self = this->shared_from_this()] { self->on_received({}, 0); });
+}
+
+void http_session::receive() {
     this->reading = true;
-    http::async_read(this->stream, this->buffer, *this->parser,
-                     [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
-                         self->on_read(error);
-                     });
+    auto const size = this->buffer.size();
+    auto const wanted = std::clamp(this->buffer.capacity() - size, min_receive_bytes, max_receive_bytes);
+    this->stream.async_read_some(
+        this->buffer.prepare(std::min(wanted, this->buffer.max_size() - size)),
+        [self = this->shared_from_this()](boost::system::error_code error, std::size_t received) {
+            self->on_received(error, received);
+        });
 }
 
-void http_session::on_read(boost::system::error_code error) {
+void http_session::on_received(boost::system::error_code error, std::size_t size) {
     this->reading = false;
+    // A refusal cancels the read that it interrupts.
+    bool const is_gone = error && error != boost::asio::error::operation_aborted;
     if (this->lingering) {
-        return error ? this->stream.close() : this->linger();
+        return is_gone ? this->stream.close() : this->linger();
+    }
+    if (this->refused) {
+        this->free_buffer();
+        return is_gone ? this->disconnect() : this->continue_reading();
+    }
+    this->buffer.commit(size);
+    if (error == boost::asio::error::eof) {
+        error = this->parser->got_some() ? http::error::partial_message : http::error::end_of_stream;
     }
-    this->last_activity = monotonic_clock::now();
     if (error) {
         return this->on_read_error(error);
     }
+    this->parse_received();
+}
+
+void http_session::parse_received() {
+    auto const now = monotonic_clock::now();
+    bool const is_new = !this->parser->got_some();
+    boost::system::error_code error;
+    auto const used = this->parser->put(this->buffer.data(), error);
+    this->buffer.consume(used);
+    this->parsed_bytes += used;
+    if (error && error != http::error::need_more) {
+        return this->on_read_error(error);
+    }
+    if (this->parser->is_done()) {
+        return this->on_request();
+    }
+    this->arrival_progress = is_new ? transfer_progress(now) : this->arrival_progress;
+    this->arrival_progress.record(used, now);
+    if (!this->charge_arriving()) {
+        return this->refuse_arriving();
+    }
+    if (this->buffer.size() == this->buffer.max_size()) {
+        return this->on_read_error(http::error::buffer_overflow);
+    }
+    if (this->parser->get().body().size() >= long_body_bytes) {
+        this->buffer.reserve(long_body_receive_bytes);
+    }
+    this->receive();
+}
+
+std::size_t http_session::arriving_bytes() const {
+    bool const is_arriving = this->parser && this->parser->got_some() && !this->parser->is_done() &&
+                             !this->refused && !this->lingering && this->is_open();
+    return is_arriving ? this->arriving_charge.size() : 0;
+}
+
+std::size_t http_session::arriving_size() const {
+    auto const& body = this->parser->get().body();
+    // Lines between chunks have been parsed, and are not kept.
+    auto const header = std::min(this->parsed_bytes - body.size(), this->listener.options.max_header);
+    return header + body.held();
+}
+
+bool http_session::charge_arriving() {
+    auto const held = this->buffer.capacity() + this->arriving_size();
+    return this->arriving_charge.try_resize(held <= uncharged_bytes ? 0 : held, this);
+}
+
+void http_session::on_request() {
+    this->last_activity = monotonic_clock::now();
     auto const& dialect = this->listener.options.dialect;
+    auto const size = this->arriving_size();
     auto request = this->parser->release();
     bool const keep_alive = request.keep_alive();
     bool const is_head = request.method() == http::verb::head;
@@ -153,7 +238,12 @@
     if (has_ambiguous_length || has_unknown_coding || has_duplicates) {
         return this->answer_error(result_code::request_malformed, false, is_head);
     }
-    auto converted = to_listener_request(std::move(request), dialect);
+    auto converted = to_listener_request(request, dialect);
+    auto body = this->take_body(std::move(request.body()), size);
+    if (!body) {
+        return this->answer_error(result_code::node_busy, keep_alive, is_head);
+    }
+    converted.body = std::move(*body);
     auto const id = this->listener.next_id++;
     converted.id = id;
     converted.side = this->listener.options.side;
@@ -168,6 +258,49 @@
     this->continue_reading();
 }
 
+std::optional<message_body> http_session::take_body(body_builder&& body, std::size_t size) {
+    if (this->buffer.size() == 0 && this->buffer.capacity() > uncharged_bytes) {
+        this->buffer.shrink_to_fit();
+    }
+    auto const kept = this->buffer.capacity() <= uncharged_bytes ? 0 : this->buffer.capacity();
+    // Shrinks first, so that the request itself always fits where it has been charged while it arrived.
+    this->arriving_charge.try_resize(std::min(this->arriving_charge.size(), kept));
+    memory_charge charge(this->listener.options.memory, held_for::requests);
+    if (body.size() == 0 && size <= uncharged_bytes) {
+        return message_body();
+    }
+    if (!charge.try_resize(size, this)) {
+        return std::nullopt;
+    }
+    return body.finish(std::move(charge));
+}
+
+void http_session::drop_arriving() {
+    this->refused = true;
+    this->parser->get().body().give_up();
+    this->arriving_charge.release();
+    if (!this->reading) {
+        return this->free_buffer();
+    }
+    // The buffer can be freed once nothing is received into it. An earlier answer is still written to its
+    // end.
+    if (!this->writing) {
+        boost::system::error_code ignored;
+        this->stream.socket().cancel(ignored);
+    }
+}
+
+void http_session::free_buffer() {
+    this->buffer.clear();
+    this->buffer.shrink_to_fit();
+}
+
+void http_session::refuse_arriving() {
+    ++this->listener.displaced_connections;
+    this->drop_arriving();
+    this->answer_error(result_code::node_busy, false, false);
+}
+
 void http_session::continue_reading() {
     if (this->reading || this->lingering) {
         return;
@@ -194,13 +327,16 @@
         code = result_code::header_too_large;
     }
     ++this->listener.unreadable_requests;
+    this->drop_arriving();
     this->answer_error(code, false, false);
 }
 
 void http_session::answer_error(result_code code, bool keep_alive, bool is_head) {
     auto const& entry = describe(code);
     listener_answer answer{.status = entry.http_status, .body = std::string(entry.name) + "\n"};
-    answer.metadata = answer_metadata{.result = outcome::not_run, .code = code};
+    answer.metadata = answer_metadata{.result = outcome::not_run,
+                                      .code = code,
+                                      .retry_after_ms = entry.http_status == 503 ? memory_retry_after_ms : 0};
     this->add_pending({.keep_alive = keep_alive, .is_head = is_head, .answer = std::move(answer)});
     this->closing = this->closing || !keep_alive;
     this->write_next();
@@ -232,23 +368,33 @@
         return;
     }
     // What has arrived is received, since the end of the stream may be behind it.
-    auto const room = this->buffer.prepare(linger_chunk_bytes);
-    auto const received =
-        ::recv(this->stream.socket().native_handle(), room.data(), room.size(), MSG_DONTWAIT);
-    bool const is_empty = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
-    if (received <= 0 && !is_empty) {
+    bool const is_kept = !this->closing && !this->listener.draining;
+    auto const received = this->receive_ready(is_kept ? this->buffer.prepare(linger_chunk_bytes)
+                                                      : boost::asio::buffer(this->listener.discarded));
+    if (!received) {
         return this->disconnect();
     }
-    if (received > 0 && !this->keep_read_ahead(static_cast<std::size_t>(received))) {
+    if (*received > 0 && !this->keep_read_ahead(*received)) {
         return;
     }
     this->watch_for_disconnect();
 }
 
+std::optional<std::size_t> http_session::receive_ready(boost::asio::mutable_buffer room) {
+    auto const received =
+        ::recv(this->stream.socket().native_handle(), room.data(), room.size(), MSG_DONTWAIT);
+    bool const is_empty = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    if (received <= 0 && !is_empty) {
+        return std::nullopt;
+    }
+    return is_empty ? 0 : static_cast<std::size_t>(received);
+}
+
 bool http_session::keep_read_ahead(std::size_t size) {
     if (!this->closing && !this->listener.draining) {
         this->buffer.commit(size);
-        return this->buffer.size() < max_read_ahead_bytes;
+        return this->buffer.size() < max_read_ahead_bytes &&
+               this->arriving_charge.try_resize(this->buffer.capacity(), this);
     }
     this->lingered_bytes += size; // Not committed: no further request is read.
     return this->lingered_bytes <= max_linger_bytes;
@@ -339,7 +485,7 @@
     reply.body() = std::move(answer.body);
     reply.prepare_payload();
     if (request.is_head) {
-        reply.body().clear();
+        reply.body() = {};
     }
     return reply;
 }
@@ -351,14 +497,16 @@
     if (this->reading) {
         return;
     }
-    this->buffer.clear();
+    this->free_buffer();
     this->reading = true;
-    this->stream.async_read_some(
-        this->buffer.prepare(linger_chunk_bytes),
-        [self = this->shared_from_this()](boost::system::error_code error, std::size_t size) {
+    this->stream.socket().async_wait(
+        boost::asio::ip::tcp::socket::wait_read,
+        [self = this->shared_from_this()](boost::system::error_code error) {
             self->reading = false;
-            self->lingered_bytes += size;
-            if (error || self->lingered_bytes > max_linger_bytes) {
+            auto const size =
+                error ? std::nullopt : self->receive_ready(boost::asio::buffer(self->listener.discarded));
+            self->lingered_bytes += size.value_or(0);
+            if (!size || self->lingered_bytes > max_linger_bytes) {
                 return self->stream.close();
             }
             self->linger();
@@ -375,7 +523,8 @@
     auto const limit = this->lingering ? linger_timeout : duration{this->listener.options.idle_timeout_ms};
     // A pending request ends by its own time limit.
     bool const waits_for_node = !this->pending.empty() && !this->writing;
-    if (!waits_for_node && now - this->last_activity >= limit) {
+    bool const is_idle = !waits_for_node && now - this->last_activity >= limit;
+    if (is_idle) {
         this->disconnect();
     }
 }
--- a/libraries/http/http_session.hpp
+++ b/libraries/http/http_session.hpp
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "http/http_listener.hpp"
+#include "http/message_bodies.hpp"
+#include "http/transfer_progress.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -27,9 +29,18 @@
     /// answer does not count as inactivity.
     void close_if_timed_out(time_point now);
 
+    /// When the peer last sent a part of its unfinished request.
+    time_point last_progress() const { return this->arrival_progress.last_progress(); }
+    bool is_open() const { return this->stream.socket().is_open(); }
+    /// Memory that the peer's unfinished request takes; 0 when none is arriving.
+    std::size_t arriving_bytes() const;
+    bool arrives_too_slowly(time_point now) const { return this->arrival_progress.is_too_slow(now); }
+    /// Answers the unfinished request as not run, closes the connection after that, and frees its memory now.
+    void refuse_arriving();
+
 private:
-    using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
-    using response_type = boost::beast::http::response<boost::beast::http::string_body>;
+    using parser_type = boost::beast::http::request_parser<received_body>;
+    using response_type = boost::beast::http::response<shared_body>;
 
     /// A request that was read and whose answer is not being written yet. Kept in the order of arrival.
     struct pending_request {
@@ -39,7 +50,24 @@
         std::optional<listener_answer> answer;
     };
 
-    void on_read(boost::system::error_code error);
+    /// Receives what has arrived, up to a bound.
+    void receive();
+    void on_received(boost::system::error_code error, std::size_t size);
+    /// Reads on the rest of the request, or handles it once it is complete.
+    void parse_received();
+    /// What the unfinished request takes.
+    std::size_t arriving_size() const;
+    /// Draws that; false if the memory has no room.
+    bool charge_arriving();
+    /// Frees the memory of the unfinished request, of which nothing more is read.
+    void drop_arriving();
+    void free_buffer();
+    /// Receives what has arrived, if anything; nothing once the peer has closed or reset the connection.
+    std::optional<std::size_t> receive_ready(boost::asio::mutable_buffer room);
+    void on_request();
+    /// The body with the charge for the whole request, which takes `size` bytes; nothing if the memory has no
+    /// room.
+    std::optional<message_body> take_body(body_builder&& body, std::size_t size);
     /// Answers a malformed or oversized request and closes the connection after it; only closes the
     /// connection if there is no request to answer.
     void on_read_error(boost::system::error_code error);
@@ -68,6 +96,9 @@
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     std::optional<parser_type> parser;
+    memory_charge arriving_charge;      ///< For the unfinished request, and for what is read ahead.
+    std::size_t parsed_bytes{0};        ///< Of the unfinished request.
+    transfer_progress arrival_progress; ///< Of the unfinished request.
     std::optional<response_type> response;
     std::deque<pending_request> pending;
     time_point last_activity; ///< When the peer last sent a complete request or received a complete answer.
@@ -76,6 +107,7 @@
     bool watching{false};
     bool closing{false}; ///< No further request is read.
     bool lingering{false};
+    bool refused{false};           ///< The unfinished request has been answered.
     std::size_t lingered_bytes{0}; ///< Discarded so far.
 };
 
--- a/libraries/http/response_reader.cpp
+++ b/libraries/http/response_reader.cpp
@@ -32,6 +32,7 @@
                               ? accepted_statuses::interim_and_final
                               : accepted_statuses::final_only;
     this->current.emplace(this->limits, accepted);
+    this->current->eager(true);
     this->current->skip(this->is_head);
 }
 
--- a/libraries/http/response_reader.hpp
+++ b/libraries/http/response_reader.hpp
@@ -25,6 +25,9 @@
     /// Whether anything of the response, or of an interim one before it, has been read.
     bool got_some() const { return this->interim_responses > 0 || this->current->got_some(); }
 
+    /// What has been read of the body.
+    body_builder const& received() const { return this->current->received(); }
+
     strict_response_parser::response_type release() { return this->current->release(); }
 
 private:
--- a/libraries/http/strict_response_parser.cpp
+++ b/libraries/http/strict_response_parser.cpp
@@ -72,12 +72,12 @@
 
 void strict_response_parser::on_body_init_impl(boost::optional<std::uint64_t> const& length, error_code&) {
     if (length) {
-        this->response.body().reserve(static_cast<std::size_t>(*length));
+        this->response.body().expect(static_cast<std::size_t>(*length));
     }
 }
 
 std::size_t strict_response_parser::on_body_impl(string_view bytes, error_code&) {
-    this->response.body().append(bytes.data(), bytes.size());
+    this->response.body().append({bytes.data(), bytes.size()});
     return bytes.size();
 }
 
--- a/libraries/http/strict_response_parser.hpp
+++ b/libraries/http/strict_response_parser.hpp
@@ -4,11 +4,11 @@
 /// folded value, and adds the fields of a trailer to those of the header.
 #pragma once
 
+#include "http/message_bodies.hpp"
 #include "http/status_rules.hpp"
 
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -27,7 +27,7 @@
 /// interim or final; `response_reader` joins them.
 class strict_response_parser : public boost::beast::http::basic_parser<false> {
 public:
-    using response_type = boost::beast::http::response<boost::beast::http::string_body>;
+    using response_type = boost::beast::http::response<received_body>;
 
     strict_response_parser(response_limits limits, accepted_statuses accepted);
 
@@ -35,6 +35,8 @@
     bool is_interim() const { return is_interim_status(this->response.result_int()); }
 
     response_type release() { return std::move(this->response); }
+    /// What has been read of the body.
+    body_builder const& received() const { return this->response.body(); }
 
 private:
     using error_code = boost::beast::error_code;
--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -3,6 +3,7 @@
 #include "base/clock.hpp"
 #include "http/header_rules.hpp"
 #include "http/idle_socket.hpp"
+#include "http/message_bodies.hpp"
 #include "http/response_reader.hpp"
 
 #include <boost/asio/post.hpp>
@@ -201,7 +202,7 @@
             std::chrono::microseconds(static_cast<std::int64_t>(limit.milliseconds * 1000)));
     }
 
-    void set_dialect_headers(http::request<http::string_body>& message) const {
+    void set_dialect_headers(http::request<shared_body>& message) const {
         if (this->request.is_health_check) {
             return;
         }
@@ -225,7 +226,7 @@
     }
 
     void write() {
-        http::request<http::string_body> message;
+        http::request<shared_body> message;
         message.version(11);
         message.method_string(this->request.method);
         message.target(this->request.path);
@@ -264,16 +265,17 @@
         if (this->was_cancelled) {
             return this->finish(outcome::unknown, result_code::cancelled);
         }
-        http::async_read(this->connection->stream, this->connection->buffer, this->reader.parser(),
-                         [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
-                             if (error) {
-                                 return self->fail_after_send(error);
-                             }
-                             if (!self->reader.finish_read()) {
-                                 return self->read_more();
-                             }
-                             self->on_response();
-                         });
+        http::async_read_some(
+            this->connection->stream, this->connection->buffer, this->reader.parser(),
+            [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
+                if (error) {
+                    return self->fail_after_send(error);
+                }
+                if (!self->reader.finish_read()) {
+                    return self->read_more();
+                }
+                self->on_response();
+            });
     }
 
     void fail_after_send(boost::system::error_code error) {
@@ -380,13 +382,13 @@
         if (dialect.checks_request_id) {
             answer.headers.push_back({dialect.request_id, this->request.request_id});
         }
-        answer.body = std::move(response.body());
+        answer.body = response.body().finish();
         this->deliver(std::move(answer));
     }
 
     /// A target that is full or failing may state how long it is cold as well. One that is well and states
     /// nothing is warm.
-    void on_health_response(http::response<http::string_body> const& response) {
+    void on_health_response(strict_response_parser::response_type const& response) {
         auto const& dialect = this->client.options.dialect;
         auto const instance = response[dialect.answering_instance.empty() ? "-" : dialect.answering_instance];
         bool const is_wanted = dialect.answering_instance.empty() || this->request.instance.empty() ||
@@ -414,7 +416,7 @@
     }
 
     /// Skips a late answer to an earlier request on this connection; this request's answer may still follow.
-    void skip_stray_answer(http::response<http::string_body> const& stray) {
+    void skip_stray_answer(strict_response_parser::response_type const& stray) {
         bool const names_another = stray.count(this->client.options.dialect.request_id) > 0;
         if (!names_another || !stray.keep_alive() || ++this->stray_answers > max_stray_answers) {
             return this->finish(outcome::unknown, result_code::target_malformed);
@@ -423,7 +425,7 @@
     }
 
     /// Returns how long the target keeps an idle connection, as stated in its Keep-Alive field.
-    static duration idle_limit_from(http::response<http::string_body> const& response) {
+    static duration idle_limit_from(strict_response_parser::response_type const& response) {
         constexpr std::string_view parameter = "timeout=";
         auto const value = response[http::field::keep_alive];
         std::string_view const text(value.data(), value.size());
@@ -447,7 +449,7 @@
     target_client& client;
     target_request request;
     std::unique_ptr<target_connection> connection;
-    http::request<http::string_body> outgoing;
+    http::request<shared_body> outgoing;
     response_reader reader;
     asio::steady_timer wait_timer;
     bool is_waiting{false};  ///< For a connection that another call uses.
--- a/libraries/http/target_client.hpp
+++ b/libraries/http/target_client.hpp
@@ -8,6 +8,8 @@
 #include "base/clock.hpp"
 #include "base/event_loop_thread.hpp"
 #include "base/header_field.hpp"
+#include "base/memory_budget.hpp"
+#include "base/message_body.hpp"
 #include "base/result_code.hpp"
 #include "http/http_dialect.hpp"
 #include "http/target_statement.hpp"
@@ -31,7 +33,7 @@
     std::string authority; ///< Value of the caller's Host field.
     std::string path;
     header_list headers;
-    std::string body;
+    message_body body;
     /// The target is told the time that is left until then when the request is written; from then on it is
     /// not written.
     time_point deadline;
@@ -54,7 +56,7 @@
     result_code code{result_code::ok};
     std::uint16_t status{0};
     header_list headers;
-    std::string body;
+    message_body body;
     /// Empty when no answer of the wanted instance was read.
     std::optional<target_statement> statement;
     bool refuses_connections{false}; ///< After a lost answer: no process listens at the target's address.
@@ -68,6 +70,8 @@
     std::size_t max_requests{8192}; ///< Capacity of the queue to the client's loop.
     /// How long a request waits for a connection that another request uses before it opens one.
     duration max_connection_wait{0};
+    /// What answers take is drawn from it; without one it is not bounded.
+    memory_budget* memory{nullptr};
     http_dialect dialect;
 };
 
--- a/libraries/link/codec.cpp
+++ b/libraries/link/codec.cpp
@@ -69,6 +69,9 @@
             this->stream.append(static_cast<quint64>(value));
         } else if constexpr (std::same_as<T, std::string>) {
             this->stream.appendByteString(value.data(), static_cast<qsizetype>(value.size()));
+        } else if constexpr (std::same_as<T, message_body>) {
+            auto const bytes = value.view();
+            this->stream.appendByteString(bytes.data(), static_cast<qsizetype>(bytes.size()));
         } else if constexpr (is_vector<T>::value || is_array<T>::value) {
             this->stream.startArray(value.size());
             for (auto& element : value) {
@@ -216,6 +219,10 @@
             this->read_unsigned(value);
         } else if constexpr (std::same_as<T, std::string>) {
             this->read_string(value);
+        } else if constexpr (std::same_as<T, message_body>) {
+            std::string bytes;
+            this->read_string(bytes);
+            value = std::move(bytes);
         } else if constexpr (is_vector<T>::value || is_array<T>::value) {
             this->read_list(value);
         } else {
--- a/libraries/link/link_connection.cpp
+++ b/libraries/link/link_connection.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t frame_header_bytes = 4;
 constexpr std::size_t max_handshake_bytes = 1024;
 constexpr std::size_t max_queued_bytes = 16'777'216;
+/// Unsent messages of one link that take no charge.
+constexpr std::size_t uncharged_queue_bytes = 65'536;
 
 std::string frame_header(std::size_t size) {
     std::string header(frame_header_bytes, '\0');
@@ -37,7 +39,8 @@
 link_connection::link_connection(link_hub& owner, connection_id number, handshake::role role,
                                  asio::ip::tcp::socket opened)
     : hub(owner), id(number), peer_handshake(role, owner.identity, owner.secret),
-      dialled(role == handshake::role::dialling), socket(std::move(opened)) {}
+      dialled(role == handshake::role::dialling), socket(std::move(opened)),
+      queued_charge(owner.body_limits.memory, held_for::links) {}
 
 void link_connection::dial(asio::ip::tcp::endpoint const& peer_endpoint) {
     this->socket.async_connect(peer_endpoint,
@@ -99,6 +102,22 @@
     return true;
 }
 
+void link_connection::charge_body(message& content) {
+    auto const charge = [this](auto& carrier, held_for purpose) {
+        memory_charge drawn(this->hub.body_limits.memory, purpose);
+        carrier.body_was_dropped = !drawn.try_resize(carrier.body.size());
+        if (carrier.body_was_dropped) {
+            carrier.body = {};
+        }
+        carrier.body.hold(std::move(drawn));
+    };
+    if (auto* request = std::get_if<forward_message>(&content)) {
+        charge(*request, held_for::requests);
+    } else if (auto* answer = std::get_if<answer_message>(&content)) {
+        charge(*answer, held_for::answers);
+    }
+}
+
 bool link_connection::handle_message(std::string_view frame) {
     return attempt_or(
         [&]() -> result<bool> {
@@ -106,6 +125,7 @@
             if (!this->authenticated) {
                 return this->handle_handshake_message(content);
             }
+            this->charge_body(content);
             return this->hub.report({.kind = link_event_kind::received,
                                      .connection = this->id,
                                      .dialled = this->dialled,
@@ -154,7 +174,10 @@
         return false;
     }
     std::lock_guard const guard(this->mutex);
-    if (this->is_closed || this->queued.size() + bytes.size() > max_queued_bytes) {
+    auto const size = this->queued.size() + bytes.size();
+    bool const has_room =
+        size <= max_queued_bytes && this->queued_charge.try_resize(size <= uncharged_queue_bytes ? 0 : size);
+    if (this->is_closed || !has_room) {
         return false;
     }
     this->queued += frame_header(bytes.size());
@@ -173,6 +196,7 @@
         std::lock_guard const guard(this->mutex);
         this->write_buffer.clear();
         this->write_buffer.swap(this->queued);
+        this->queued_charge.release();
         this->write_active = !this->write_buffer.empty() && !this->is_closed;
         if (!this->write_active) {
             return;
--- a/libraries/link/link_connection.hpp
+++ b/libraries/link/link_connection.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/clock.hpp"
+#include "base/memory_budget.hpp"
 #include "link/link_hub.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -38,6 +39,8 @@
     /// closed.
     bool consume_frames();
     bool handle_message(std::string_view frame);
+    /// Draws what a message's body takes, or drops it.
+    void charge_body(message& content);
     bool handle_handshake_message(message const& content);
     bool report_refused(result_code code);
     void close_now();
@@ -60,6 +63,7 @@
 
     std::mutex mutex; ///< Guards the members below.
     std::string queued;
+    memory_charge queued_charge;
     bool write_active{false};
     bool is_closed{false};
 };
--- a/libraries/link/link_hub.cpp
+++ b/libraries/link/link_hub.cpp
@@ -31,10 +31,10 @@
 } // namespace
 
 link_hub::link_hub(link_identity own_identity, std::string fleet_secret, std::size_t max_message,
-                   event_sink sink_function, event_loop_handle used_loop)
+                   event_sink sink_function, event_loop_handle used_loop, link_body_limits bodies)
     : loop(std::move(used_loop)), context(this->loop.context()), acceptor(this->context),
       identity(std::move(own_identity)), secret(std::move(fleet_secret)), max_message_bytes(max_message),
-      sink(std::move(sink_function)) {
+      body_limits(bodies), sink(std::move(sink_function)) {
     this->loop.start();
 }
 
--- a/libraries/link/link_hub.hpp
+++ b/libraries/link/link_hub.hpp
@@ -24,6 +24,13 @@
 
 class link_connection;
 
+/// Of bodies that are sent in parts.
+struct link_body_limits {
+    std::size_t max_body{0};
+    /// What arriving bodies and unsent messages take is drawn from it; without one it is not bounded.
+    memory_budget* memory{nullptr};
+};
+
 /// Thread-safe. The event sink is called on the loop, must not block and returns whether it accepted the
 /// event.
 class link_hub {
@@ -32,7 +39,7 @@
 
     /// `max_message` is the greatest size of a frame's message in bytes.
     link_hub(link_identity own_identity, std::string fleet_secret, std::size_t max_message, event_sink sink,
-             event_loop_handle used_loop = {});
+             event_loop_handle used_loop = {}, link_body_limits bodies = {});
     ~link_hub();
     link_hub(link_hub const&) = delete;
     link_hub& operator=(link_hub const&) = delete;
@@ -70,6 +77,7 @@
     link_identity identity;
     std::string secret;
     std::size_t max_message_bytes;
+    link_body_limits body_limits;
     event_sink sink;
     boost::asio::ip::address listen_ip;
     std::atomic<std::uint64_t> sent_bytes{0};
--- a/libraries/link/message.hpp
+++ b/libraries/link/message.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "base/header_field.hpp"
+#include "base/message_body.hpp"
 #include "base/result_code.hpp"
 #include "membership/lease_message.hpp"
 
@@ -115,7 +116,7 @@
     std::string method;
     std::string path; ///< Includes the query.
     header_list headers;
-    std::string body;
+    message_body body;
     double deadline_ms{0}; ///< Remaining time.
     std::uint8_t priority{0};
     /// Compared with the admission fraction; the same at every hop of one root request.
@@ -140,6 +141,8 @@
     /// The host may refuse the request as `passed_on`, before it runs, when the request would wait longer
     /// than this: the sender then knows a better host. In milliseconds; 0 if it must not be passed on.
     std::uint32_t pass_on_above_ms{0};
+    /// Not sent: this host had no memory for the body when it arrived.
+    bool body_was_dropped{false};
 
     template <typename Visitor>
     void visit(Visitor&& visitor) {
@@ -200,13 +203,14 @@
     result_code code{result_code::ok};
     std::uint16_t status{0}; ///< HTTP status of the target if the request ran.
     header_list headers;
-    std::string body;
+    message_body body;
     double retry_after_ms{0};
     std::uint8_t allowance_left{0};
     std::vector<admission_report> admissions;
     host_report report;
     std::vector<service_cost> costs; ///< Of one request of the call's route; empty if not known.
     double held_ms{0};               ///< From the arrival of the request at the sender to this answer.
+    bool body_was_dropped{false};    ///< As in `forward_message`.
 
     template <typename Visitor>
     void visit(Visitor&& visitor) {
--- a/libraries/node/executor.cpp
+++ b/libraries/node/executor.cpp
@@ -217,7 +217,7 @@
         return this->refuse_new(work, result_code::node_busy, outcome::not_run, now);
     }
     work.fingerprint = quarantine::fingerprint_of(work.request.organisation, work.request.route,
-                                                  work.request.path, work.request.body);
+                                                  work.request.path, work.request.body.view());
     auto const verdict = this->context.request_quarantine.verdict_for(work.fingerprint, now);
     if (verdict == quarantine_verdict::refuse) {
         return this->refuse_new(work, result_code::quarantined, outcome::not_run, now);
--- a/libraries/node/node_core.cpp
+++ b/libraries/node/node_core.cpp
@@ -149,7 +149,10 @@
             }
         },
         arrived);
-    if (this->intake.size() < this->context.options.max_requests) {
+    auto const* forwarded = std::get_if<link_event>(&arrived);
+    bool const is_whole =
+        forwarded == nullptr || !std::get<forward_message>(forwarded->content).body_was_dropped;
+    if (is_whole && this->intake.size() < this->context.options.max_requests) {
         return this->intake.add(std::move(arrived));
     }
     if (auto const* request = std::get_if<listener_request>(&arrived)) {
--- a/libraries/node/node_runtime.cpp
+++ b/libraries/node/node_runtime.cpp
@@ -32,6 +32,24 @@
 /// Room in a link message besides the body, for HTTP header fields and the message's own fields.
 constexpr std::size_t message_overhead_bytes = 131'072;
 constexpr std::size_t min_message_limit_bytes = 1'500'000;
+/// Versions before bodies travelled in parts send up to this much in one message.
+constexpr std::size_t max_whole_body_bytes = 8'388'608;
+/// What the process takes besides that which it holds for others: at rest, for documents, and for the state
+/// of connections.
+constexpr std::size_t own_memory_bytes = 56'000'000;
+constexpr std::size_t bytes_per_megabyte = 1'000'000;
+/// What is held for others takes at least this part of the memory, on hosts that give the process little.
+constexpr std::size_t min_budget_fraction = 4;
+
+std::size_t budget_within(std::size_t memory_mb) {
+    auto const bytes = memory_mb * bytes_per_megabyte;
+    return std::max(bytes / min_budget_fraction, bytes - std::min(bytes, own_memory_bytes));
+}
+
+std::size_t message_limit(settings const& options) {
+    return std::max(min_message_limit_bytes,
+                    std::min(options.max_body, max_whole_body_bytes) + message_overhead_bytes);
+}
 
 settings with_drain_time(settings options, platform_traits const& traits) {
     options.drain_ms = drain_time_within(traits.stop_grace, options.drain_ms);
@@ -43,6 +61,7 @@
 node_runtime::node_runtime(settings initial_settings, platform_binding platform_interface)
     : options(with_drain_time(std::move(initial_settings), platform_interface.traits)),
       binding(std::move(platform_interface)), incarnation(random_number()),
+      memory(budget_within(this->options.memory_mb)),
       telemetry({.service = "carawayd",
                  .host = options.host,
                  .file_descriptor = options.span_file_descriptor,
@@ -52,11 +71,9 @@
       pending_checks(max_pending_checks),
       core(options, binding.traits, incarnation,
            [this](effects&& all) { this->execute_effects(std::move(all)); }),
-      links(
-          {options.host, incarnation}, options.fleet_secret,
-          std::max(min_message_limit_bytes, options.max_body + message_overhead_bytes),
-          [this](link_event&& event) { return this->core.push(std::move(event)); },
-          event_loop_handle(core.loop())),
+      links({options.host, incarnation}, options.fleet_secret, message_limit(options),
+            [this](link_event&& event) { return this->core.push(std::move(event)); },
+            event_loop_handle(core.loop()), {.max_body = options.max_body, .memory = &memory}),
       target(
           {.address = options.target.address,
            .port = options.target.port,
@@ -64,6 +81,7 @@
            .max_header = options.max_header,
            .max_requests = options.max_requests,
            .max_connection_wait = options.placement == placement_rule::wait ? connection_wait : duration{0},
+           .memory = &memory,
            .dialect = binding.dialect},
           [this](target_answer&& answer) { this->core.push(std::move(answer)); },
           event_loop_handle(core.loop())) {
@@ -96,6 +114,7 @@
                                                              .max_header = this->options.max_header,
                                                              .max_connections = this->options.max_connections,
                                                              .idle_timeout_ms = this->options.idle_timeout_ms,
+                                                             .memory = &this->memory,
                                                              .max_pipeline = this->options.max_pipeline,
                                                              .dialect = this->binding.dialect},
                                            this->make_listener_events(side),
--- a/libraries/node/node_runtime.hpp
+++ b/libraries/node/node_runtime.hpp
@@ -5,6 +5,7 @@
 /// operators' HTTP server and the lifecycle state machine.
 #pragma once
 
+#include "base/memory_budget.hpp"
 #include "config/settings.hpp"
 #include "http/http_listener.hpp"
 #include "http/target_client.hpp"
@@ -61,6 +62,7 @@
     settings options;
     platform_binding binding;
     std::uint64_t incarnation;
+    memory_budget memory; ///< Outlives all that draws from it.
     QObject control; ///< Belongs to the control thread; receives the calls that other threads queue to it.
     exporter telemetry;
     bounded_queue<document_check_request> pending_checks;
--- a/libraries/node/request_router.cpp
+++ b/libraries/node/request_router.cpp
@@ -671,7 +671,12 @@
     }
     this->by_call_id.erase(found);
     reject_invalid_status(answer);
-    if (answer.code == result_code::domain_evacuated) {
+    if (answer.body_was_dropped) {
+        answer.result = outcome::ran;
+        answer.code = result_code::answer_dropped;
+        answer.headers.clear();
+    }
+    if (answer.code == result_code::domain_evacuated || answer.body_was_dropped) {
         this->context.chooser.record_abandoned(from); // Its target had no part in it.
     } else {
         this->context.chooser.record_answer(from, now - call.sent, is_failure(answer), is_refusal(answer),
--- a/libraries/platform/platform_client.cpp
+++ b/libraries/platform/platform_client.cpp
@@ -167,7 +167,7 @@
 
     void finish() {
         auto response = this->reader.release();
-        platform_reply reply{.status = response.result_int(), .body = std::move(response.body())};
+        platform_reply reply{.status = response.result_int(), .body = response.body().to_string()};
         for (auto const& field : response) {
             reply.headers.push_back({std::string(field.name_string()), std::string(field.value())});
         }
--- a/libraries/policy/quarantine.cpp
+++ b/libraries/policy/quarantine.cpp
@@ -11,7 +11,7 @@
 } // namespace
 
 std::uint64_t quarantine::fingerprint_of(std::string const& organisation, std::string const& route,
-                                         std::string const& path, std::string const& body) {
+                                         std::string const& path, std::string_view body) {
     return fast_hash(body, fast_hash(path, fast_hash(route, fast_hash(organisation))));
 }
 
--- a/libraries/policy/quarantine.hpp
+++ b/libraries/policy/quarantine.hpp
@@ -28,7 +28,7 @@
 public:
     /// Equal for all copies of a request.
     static std::uint64_t fingerprint_of(std::string const& organisation, std::string const& route,
-                                        std::string const& path, std::string const& body);
+                                        std::string const& path, std::string_view body);
 
     /// The target crashed; `in_flight` are the fingerprints under suspicion. A suspect that is in flight at a
     /// second crash is taken for the cause: no other suspect runs at the same time, only ordinary requests.
--- a/services/carawayd/main.cpp
+++ b/services/carawayd/main.cpp
@@ -19,6 +19,8 @@
 
 constexpr int exit_usage = 2;
 constexpr int exit_failure = 1;
+constexpr int malloc_mmap_threshold = 262'144;
+constexpr int malloc_trim_threshold = 2'097'152;
 constexpr int max_malloc_arenas = 2;
 
 std::array<int, 2> signal_pipe{-1, -1};
@@ -108,6 +110,10 @@
     // With a malloc arena for each of about twenty threads, each would keep the memory that a burst once
     // needed.
     ::mallopt(M_ARENA_MAX, max_malloc_arenas);
+    // Without a fixed threshold malloc raises it with the first large body that is freed, and keeps the
+    // memory of later ones.
+    ::mallopt(M_MMAP_THRESHOLD, malloc_mmap_threshold);
+    ::mallopt(M_TRIM_THRESHOLD, malloc_trim_threshold);
     QCoreApplication application(argument_count, arguments);
     return attempt_or(
         [&]() -> result<int> {
