http: Give up answers that nobody reads when memory is short

What callers saw: clients that asked for long answers and did not read them ended the process of their host, or of the host whose target answered.

Cause: answers were read from the target as fast as it wrote, and kept for as long as the idle timeout for callers that took nothing.

Change: the target client draws an answer from the budget while it arrives. Where there is no room, the connection of the caller that is slowest is closed, if it has taken nothing for two seconds or less than 16 KiB/s since then; its answer has a length that was not reached, so it does not look complete. Until that helps, the rest of the answer stays with the target, for at most 2.5 s, so that the slots are not held by the crowd; then the request ends as answer_dropped (502, it ran). Writing in steps tells how far each caller is.

--- a/libraries/http/http_listener.cpp
+++ b/libraries/http/http_listener.cpp
@@ -34,6 +34,8 @@
         this->options.memory->add_reclaimer(
             held_for::requests,
             [this](memory_budget::claimant const& wanting) { return this->refuse_arriving(wanting); });
+        this->options.memory->add_reclaimer(
+            held_for::answers, [this](memory_budget::claimant const&) { return this->abandon_unread(); });
     }
 }
 
@@ -105,6 +107,23 @@
     return may_displace;
 }
 
+bool http_listener::abandon_unread() {
+    auto const now = monotonic_clock::now();
+    std::shared_ptr<http_session> slowest;
+    for (auto const& entry : this->sessions) {
+        auto const session = entry.lock();
+        bool const is_slowest = session != nullptr && session->is_open() &&
+                                session->is_read_too_slowly(now) &&
+                                (slowest == nullptr || session->last_progress() < slowest->last_progress());
+        slowest = is_slowest ? session : slowest;
+    }
+    if (slowest == nullptr) {
+        return false;
+    }
+    slowest->abandon_answers();
+    return true;
+}
+
 void http_listener::schedule_sweep() {
     auto const interval_ms =
         std::min(max_sweep_interval_ms, this->options.idle_timeout_ms * sweep_interval_fraction);
--- a/libraries/http/http_listener.hpp
+++ b/libraries/http/http_listener.hpp
@@ -125,6 +125,8 @@
     void accept();
     /// Refuses a request that is still arriving, of another connection than the claimant.
     bool refuse_arriving(memory_budget::claimant const& wanting);
+    /// Closes the connection of a caller that reads its answer too slowly.
+    bool abandon_unread();
     void deliver_queued();
     void deliver_to_session(listener_answer&& value);
     void sweep();
--- a/libraries/http/http_session.cpp
+++ b/libraries/http/http_session.cpp
@@ -433,17 +433,28 @@
         this->pending.empty() && (!request.keep_alive || this->listener.draining || this->closing);
     this->closing = this->closing || is_last;
     this->response.emplace(this->make_response(std::move(request), !is_last));
+    this->serializer.emplace(*this->response);
+    this->answer_progress = transfer_progress(monotonic_clock::now());
     this->writing = true;
-    http::async_write(
-        this->stream, *this->response,
-        [self = this->shared_from_this(), is_last](boost::system::error_code error, std::size_t) {
-            self->on_written(error, !is_last);
+    this->write_more();
+}
+
+void http_session::write_more() {
+    http::async_write_some(
+        this->stream, *this->serializer,
+        [self = this->shared_from_this()](boost::system::error_code error, std::size_t sent) {
+            if (!error && !self->serializer->is_done()) {
+                self->answer_progress.record(sent, monotonic_clock::now());
+                return self->write_more();
+            }
+            self->on_written(error, self->response->keep_alive());
         });
 }
 
 void http_session::on_written(boost::system::error_code error, bool keep_alive) {
     this->writing = false;
     --this->listener.unanswered;
+    this->serializer.reset();
     this->response.reset();
     this->last_activity = monotonic_clock::now();
     if (error) {
@@ -529,4 +540,17 @@
     }
 }
 
+time_point http_session::last_progress() const {
+    return std::max(
+        {this->last_activity, this->arrival_progress.last_progress(), this->answer_progress.last_progress()});
+}
+
+void http_session::abandon_answers() {
+    ++this->listener.displaced_connections;
+    if (this->response) {
+        this->response->body().release_charge();
+    }
+    this->disconnect();
+}
+
 } // namespace caraway
--- a/libraries/http/http_session.hpp
+++ b/libraries/http/http_session.hpp
@@ -29,18 +29,26 @@
     /// answer does not count as inactivity.
     void close_if_timed_out(time_point now);
 
-    /// When the peer last sent a part of its unfinished request.
-    time_point last_progress() const { return this->arrival_progress.last_progress(); }
+    /// When the peer last sent or took anything.
+    time_point last_progress() const;
     bool is_open() const { return this->stream.socket().is_open(); }
     /// Memory that the peer's unfinished request takes; 0 when none is arriving.
     std::size_t arriving_bytes() const;
     bool arrives_too_slowly(time_point now) const { return this->arrival_progress.is_too_slow(now); }
+    /// Whether an answer is being written that the peer takes too slowly.
+    bool is_read_too_slowly(time_point now) const {
+        return this->writing && this->answer_progress.is_too_slow(now);
+    }
     /// Answers the unfinished request as not run, closes the connection after that, and frees its memory now.
     void refuse_arriving();
+    /// Closes the connection with its answers unsent. Their charges end now, and their memory as soon as the
+    /// write has been aborted.
+    void abandon_answers();
 
 private:
     using parser_type = boost::beast::http::request_parser<received_body>;
     using response_type = boost::beast::http::response<shared_body>;
+    using serializer_type = boost::beast::http::response_serializer<shared_body>;
 
     /// A request that was read and whose answer is not being written yet. Kept in the order of arrival.
     struct pending_request {
@@ -74,6 +82,7 @@
     void answer_error(result_code code, bool keep_alive, bool is_head);
     void add_pending(pending_request&& request);
     void write_next();
+    void write_more();
     void on_written(boost::system::error_code error, bool keep_alive);
     response_type make_response(pending_request&& request, bool keep_alive) const;
     /// Reads the next request, or only watches for a disconnect where none may be read now.
@@ -100,6 +109,8 @@
     std::size_t parsed_bytes{0};        ///< Of the unfinished request.
     transfer_progress arrival_progress; ///< Of the unfinished request.
     std::optional<response_type> response;
+    std::optional<serializer_type> serializer;
+    transfer_progress answer_progress;
     std::deque<pending_request> pending;
     time_point last_activity; ///< When the peer last sent a complete request or received a complete answer.
     bool reading{false};
--- a/libraries/http/target_client.cpp
+++ b/libraries/http/target_client.cpp
@@ -48,6 +48,14 @@
 constexpr std::size_t min_read_buffer_bytes = 65'536;
 /// With fewer calls in progress, a request opens a connection at once: none is likely to become free in time.
 constexpr std::size_t min_calls_to_wait = 4;
+/// An answer of which so much has arrived is charged while it arrives, and read in larger pieces.
+constexpr std::size_t long_answer_bytes = 65'536;
+constexpr std::size_t long_answer_read_bytes = 16'384;
+/// How often an answer for which there is no memory is tried again.
+constexpr auto memory_retry_interval = std::chrono::milliseconds(20);
+/// How long an answer keeps its slot while there is no memory for it; longer than callers may stop reading
+/// before they give up memory.
+constexpr duration longest_memory_wait{2500};
 
 /// Whether the field is there several times, with different values. An empty name stands for no field.
 bool is_contradictory(http::fields const& header, std::string const& name) {
@@ -85,7 +93,7 @@
     target_call(target_client& owner, target_request&& new_request)
         : client(owner), request(std::move(new_request)),
           reader({.header = owner.options.max_header, .body = owner.options.max_body}),
-          wait_timer(owner.context) {}
+          wait_timer(owner.context), answer_charge(owner.options.memory, held_for::answers) {}
 
     void start() {
         if (!this->has_time_left()) {
@@ -265,6 +273,10 @@
         if (this->was_cancelled) {
             return this->finish(outcome::unknown, result_code::cancelled);
         }
+        if (!this->charge_answer()) {
+            return this->wait_for_memory();
+        }
+        this->memory_wanted_since.reset();
         http::async_read_some(
             this->connection->stream, this->connection->buffer, this->reader.parser(),
             [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
@@ -278,6 +290,31 @@
             });
     }
 
+    /// Draws what the answer takes so far and may take with the next read.
+    bool charge_answer() {
+        auto const size = this->reader.received().size();
+        if (size < long_answer_bytes) {
+            return true;
+        }
+        this->connection->buffer.reserve(long_answer_read_bytes);
+        return this->answer_charge.try_resize(size + long_answer_bytes);
+    }
+
+    /// Leaves the rest of the answer with the target until others have given up memory.
+    void wait_for_memory() {
+        auto const now = monotonic_clock::now();
+        this->memory_wanted_since = this->memory_wanted_since.value_or(now);
+        if (this->answer_time_left() <= duration{0}) {
+            return this->fail_after_send(boost::beast::error::timeout);
+        }
+        if (now - *this->memory_wanted_since >= longest_memory_wait) {
+            return this->finish(outcome::ran, result_code::answer_dropped);
+        }
+        this->wait_timer.expires_after(memory_retry_interval);
+        this->wait_timer.async_wait(
+            [self = this->shared_from_this()](boost::system::error_code) { self->read_more(); });
+    }
+
     void fail_after_send(boost::system::error_code error) {
         if (this->was_cancelled) {
             return this->finish(outcome::unknown, result_code::cancelled);
@@ -382,7 +419,10 @@
         if (dialect.checks_request_id) {
             answer.headers.push_back({dialect.request_id, this->request.request_id});
         }
-        answer.body = response.body().finish();
+        if (!this->answer_charge.try_resize(response.body().held())) {
+            return this->finish(outcome::ran, result_code::answer_dropped);
+        }
+        answer.body = response.body().finish(std::move(this->answer_charge));
         this->deliver(std::move(answer));
     }
 
@@ -452,6 +492,8 @@
     http::request<shared_body> outgoing;
     response_reader reader;
     asio::steady_timer wait_timer;
+    memory_charge answer_charge; ///< For the answer that is being read.
+    std::optional<time_point> memory_wanted_since;
     bool is_waiting{false};  ///< For a connection that another call uses.
     bool was_written{false}; ///< The target may have got it.
     bool was_cancelled{false};
