link: Send long bodies in parts, and serve the largest bodies that the platform allows

What callers saw: 413 for a request of 64 MiB, the published limit, and 502 for an answer over 8 MiB. With the limit raised, one such request to another host took its entry node to 283 MB and was answered 502.

Cause: a link encoded each message whole: the codec's bytes, a string of them, the frame and the send queue were four copies of the body, and its peer kept two more.

Change: bodies over 256 KiB travel in parts of 64 KiB ahead of their message, written from the one copy that is there; other messages pass between parts. The receiver draws the body from the budget while it arrives, drops it if there is no room, and tells the core, which answers as not run, or as ran with its answer dropped. A body that keeps arriving, or an answer that is being read, at a sound pace is not idle, so that 64 MiB need not pass within one idle timeout.

Older versions: the accepting side adds a byte to its nonce, whose length no version checks, and the dialling side then announces itself by an empty part, so that only peers that know parts get them. A body that an older peer could not take used to end the link and all that was under way on it; the request now counts as not run, and the answer as dropped.

--- a/libraries/http/http_session.cpp
+++ b/libraries/http/http_session.cpp
@@ -534,12 +534,21 @@
     auto const limit = this->lingering ? linger_timeout : duration{this->listener.options.idle_timeout_ms};
     // A pending request ends by its own time limit.
     bool const waits_for_node = !this->pending.empty() && !this->writing;
-    bool const is_idle = !waits_for_node && now - this->last_activity >= limit;
+    auto const active = this->is_transferring(now) ? this->last_progress() : this->last_activity;
+    bool const is_idle = !waits_for_node && now - active >= limit;
     if (is_idle) {
         this->disconnect();
     }
 }
 
+bool http_session::is_transferring(time_point now) const {
+    if (this->writing) {
+        return !this->is_read_too_slowly(now);
+    }
+    return this->parser && this->parser->is_header_done() && !this->parser->is_done() &&
+           !this->arrives_too_slowly(now);
+}
+
 time_point http_session::last_progress() const {
     return std::max(
         {this->last_activity, this->arrival_progress.last_progress(), this->answer_progress.last_progress()});
--- a/libraries/http/http_session.hpp
+++ b/libraries/http/http_session.hpp
@@ -63,6 +63,8 @@
     void on_received(boost::system::error_code error, std::size_t size);
     /// Reads on the rest of the request, or handles it once it is complete.
     void parse_received();
+    /// Whether a body or an answer passes over the connection at a sound pace.
+    bool is_transferring(time_point now) const;
     /// What the unfinished request takes.
     std::size_t arriving_size() const;
     /// Draws that; false if the memory has no room.
--- a/libraries/link/handshake.cpp
+++ b/libraries/link/handshake.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::size_t nonce_bytes = 16;
+/// Behind the nonce of the accepting side, whose length no version checks.
+constexpr char takes_parts_mark = 'p';
 /// Part of every proof, so that two nodes with different message formats refuse each other's links. It must
 /// change with the fields or the order of any message.
 constexpr std::string_view message_format = "format 6";
@@ -19,7 +21,15 @@
 
 handshake::handshake(role own_role, link_identity own_identity, std::string fleet_secret)
     : side(own_role), identity(std::move(own_identity)), secret(std::move(fleet_secret)),
-      own_nonce(random_bytes(nonce_bytes)) {}
+      own_nonce(random_bytes(nonce_bytes)) {
+    if (own_role == role::accepting) {
+        this->own_nonce += takes_parts_mark;
+    }
+}
+
+bool handshake::peer_takes_parts() const {
+    return this->peer_nonce.size() == nonce_bytes + 1 && this->peer_nonce.back() == takes_parts_mark;
+}
 
 message handshake::hello() const {
     return hello_message{this->identity.host, this->identity.incarnation, this->own_nonce};
--- a/libraries/link/handshake.hpp
+++ b/libraries/link/handshake.hpp
@@ -30,6 +30,9 @@
 
     bool is_done() const { return this->done; }
     link_identity const& peer() const { return this->peer_identity; }
+    /// Whether the accepting side has stated that it takes long bodies in parts. Versions that don't ignore
+    /// the statement, and so do those that dial them.
+    bool peer_takes_parts() const;
 
 private:
     std::string proof_for(std::string_view purpose) const;
--- a/tests/http/http_listener_test.cpp
+++ b/tests/http/http_listener_test.cpp
@@ -213,3 +213,19 @@
     fixture.answer(0, "b");
     CHECK(after.read_answer().body == "b");
 }
+
+// A long body had to arrive within one idle timeout, whatever its pace.
+TEST_CASE("a body that keeps arriving may take longer than the idle timeout") {
+    manual_listener fixture; // Its idle timeout is two seconds.
+    test_client client("127.0.0.1", fixture.port);
+    constexpr int part_count = 12;
+    std::string const part(5000, 'x');
+    REQUIRE(client.send_raw("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                            std::to_string(part_count * part.size()) + "\r\n\r\n"));
+    for (int count = 0; count < part_count; ++count) {
+        REQUIRE(client.send_raw(part));
+        std::this_thread::sleep_for(std::chrono::milliseconds(250));
+    }
+    REQUIRE(fixture.wait_for_requests(1));
+    CHECK(fixture.request(0).body.size() == part_count * part.size());
+}
--- a/tests/link/link_hub_test.cpp
+++ b/tests/link/link_hub_test.cpp
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <condition_variable>
 #include <functional>
@@ -49,9 +50,10 @@
 };
 
 struct test_peer {
-    test_peer(std::string const& host, std::string const& secret)
-        : hub({host, 1}, secret, max_message,
-              [this](link_event&& event) { return this->events.record(std::move(event)); }) {}
+    test_peer(std::string const& host, std::string const& secret, link_body_limits bodies = {})
+        : hub(
+              {host, 1}, secret, max_message,
+              [this](link_event&& event) { return this->events.record(std::move(event)); }, {}, bodies) {}
 
     event_collector events;
     link_hub hub;
@@ -123,6 +125,115 @@
     CHECK_FALSE(server.hub.send(reply_connection, cancel_message{}));
 }
 
+TEST_CASE("a long body travels in parts, and other messages pass it") {
+    constexpr std::size_t length = 3'000'001;
+    auto const address = next_address();
+    test_peer server("server", "secret", {.max_body = length});
+    test_peer client("client", "secret");
+    listen_or_fail(server.hub, address);
+    client.hub.dial(1, address);
+    REQUIRE(client.events.wait_for(
+        [](auto const& all) { return event_collector::has(all, link_event_kind::opened); }));
+    std::string body;
+    while (body.size() < length) {
+        body += std::to_string(body.size()) + ",";
+    }
+    body.resize(length);
+    CHECK(client.hub.send(1, forward_message{.call_id = 1, .body = body}));
+    CHECK(client.hub.send(1, cancel_message{2}));
+    REQUIRE(server.events.wait_for(
+        [](auto const& all) { return event_collector::count(all, link_event_kind::received) == 2; }));
+    server.events.wait_for([&](auto const& all) {
+        for (auto const& event : all) {
+            if (auto const* request = std::get_if<forward_message>(&event.content)) {
+                CHECK(request->call_id == 1);
+                CHECK_FALSE(request->body_was_dropped);
+                CHECK(request->body == body);
+            }
+        }
+        CHECK(std::holds_alternative<forward_message>(all.back().content));
+        return true;
+    });
+}
+
+TEST_CASE("a long body for which there is no memory is dropped, and its message says so") {
+    memory_budget budget(1'000'000);
+    auto const address = next_address();
+    test_peer server("server", "secret", {.max_body = 3'000'000, .memory = &budget});
+    test_peer client("client", "secret");
+    listen_or_fail(server.hub, address);
+    client.hub.dial(1, address);
+    REQUIRE(client.events.wait_for(
+        [](auto const& all) { return event_collector::has(all, link_event_kind::opened); }));
+    CHECK(client.hub.send(1, forward_message{.call_id = 1, .body = std::string(3'000'000, 'x')}));
+    CHECK(client.hub.send(1, forward_message{.call_id = 2, .body = std::string(400'000, 'x')}));
+    REQUIRE(server.events.wait_for(
+        [](auto const& all) { return event_collector::count(all, link_event_kind::received) == 2; }));
+    server.events.wait_for([](auto const& all) {
+        auto const& first = std::get<forward_message>(all.at(all.size() - 2).content);
+        CHECK(first.body_was_dropped);
+        CHECK(first.body.empty());
+        auto const& second = std::get<forward_message>(all.back().content);
+        CHECK_FALSE(second.body_was_dropped);
+        CHECK(second.body.size() == 400'000);
+        return true;
+    });
+    CHECK(budget.held() >= 400'000);
+    CHECK(budget.held() < 600'000);
+}
+
+// A message over an older peer's limit would have ended the link and all that was under way on it.
+TEST_CASE("a peer that announces no parts gets no long body, and the request counts as not run") {
+    auto const address = next_address();
+    test_peer server("server", "secret", {.max_body = 1'000'000});
+    listen_or_fail(server.hub, address);
+    int const socket = raw_connection(address);
+    auto const send = [&](message const& content) {
+        auto const bytes = encode(content);
+        auto const frame = std::string{'\0', '\0', static_cast<char>(bytes.size() >> 8U),
+                                       static_cast<char>(bytes.size() & 0xFFU)} +
+                           bytes;
+        REQUIRE(::send(socket, frame.data(), frame.size(), MSG_NOSIGNAL) ==
+                static_cast<ssize_t>(frame.size()));
+    };
+    handshake older(handshake::role::dialling, {"older", 1}, "secret");
+    send(older.hello());
+    std::array<char, 1024> received{};
+    auto const size = ::recv(socket, received.data(), received.size(), 0);
+    REQUIRE(size > 4);
+    attempt_or(
+        [&]() -> result<bool> {
+            BOOST_LEAF_AUTO(challenge, decode({received.data() + 4, static_cast<std::size_t>(size) - 4}));
+            BOOST_LEAF_AUTO(proof, older.receive(challenge));
+            send(*proof);
+            return true;
+        },
+        [](problem const& cause) -> bool {
+            FAIL(to_text(cause));
+            return false;
+        });
+    REQUIRE(server.events.wait_for(
+        [](auto const& all) { return event_collector::has(all, link_event_kind::opened); }));
+    connection_id id = 0;
+    server.events.wait_for([&id](auto const& all) {
+        id = all.back().connection;
+        return true;
+    });
+    CHECK(server.hub.send(id,
+                          forward_message{.call_id = 7, .body = std::string(500'000, 'x'), .allowance = 2}));
+    server.events.wait_for([](auto const& all) {
+        auto const& answer = std::get<answer_message>(all.back().content);
+        CHECK(answer.call_id == 7);
+        CHECK(answer.result == outcome::not_run);
+        CHECK(answer.code == result_code::node_busy);
+        CHECK(answer.allowance_left == 2);
+        return true;
+    });
+    CHECK(server.hub.send(id, answer_message{.call_id = 8, .body = std::string(500'000, 'x')}));
+    CHECK(server.hub.connection_count() == 1);
+    ::close(socket);
+}
+
 TEST_CASE("a peer with another secret is refused by both sides") {
     auto const address = next_address();
     test_peer server("server", "secret");
