http: Make a place for a newcomer when all connections are taken

What callers saw: once clients that never ended a header held all places, every further connection was closed at once, for up to the idle timeout of a minute. The same crowd at the operators' or the readiness address let a healthy process look dead.

Cause: a listener that was full turned away whoever came, whatever the others did with their places.

Change: the listener closes the connection that has the least use of its place: one that is only lingering, then one that has not sent a whole request yet, then an idle one, then one whose peer takes its answer too slowly; of several the one that has sent or taken nothing for longest. One whose request is under way is never closed, nor is one that sends a body or takes an answer at a sound pace; if there are only such, the newcomer is turned away as before. A lack of descriptors makes the listener do the same and wait 10 ms, where it tried again at once.

The lack of descriptors has no test.

--- a/libraries/http/http_listener.cpp
+++ b/libraries/http/http_listener.cpp
@@ -21,13 +21,21 @@
 /// Interval of the check for timed-out connections, as a fraction of the idle timeout.
 constexpr double sweep_interval_fraction = 0.125;
 constexpr double max_sweep_interval_ms = 1000;
+constexpr auto accept_pause = std::chrono::milliseconds(10);
+
+bool lacks_descriptors(boost::system::error_code error) {
+    return error == asio::error::no_descriptors ||
+           error == boost::system::errc::too_many_files_open_in_system ||
+           error == asio::error::no_buffer_space || error == asio::error::no_memory;
+}
+
 } // namespace
 
 http_listener::http_listener(listener_settings initial_options, listener_events handlers,
                              event_loop_handle used_loop)
     : options(std::move(initial_options)), events(std::move(handlers)), loop(std::move(used_loop)),
       context(this->loop.context()), acceptor(this->context), sweep_timer(this->context),
-      answers(2 * options.max_connections + spare_answer_slots) {
+      accept_timer(this->context), answers(2 * options.max_connections + spare_answer_slots) {
     this->answers.set_wake_callback(
         [this] { asio::post(this->context, [this] { this->deliver_queued(); }); });
     if (this->options.memory != nullptr) {
@@ -70,15 +78,61 @@
         if (error == asio::error::operation_aborted || !this->acceptor.is_open()) {
             return;
         }
-        if (!error && *this->open_connections < this->options.max_connections) {
-            auto const session = std::make_shared<http_session>(*this, std::move(socket));
-            this->sessions.push_back(session);
-            session->read();
+        if (lacks_descriptors(error)) {
+            this->free_place();
+            return this->accept_later();
+        }
+        if (!error) {
+            this->on_accepted(std::move(socket));
         }
         this->accept();
     });
 }
 
+void http_listener::accept_later() {
+    this->accept_timer.expires_after(accept_pause);
+    this->accept_timer.async_wait([this](boost::system::error_code error) {
+        if (!error && this->acceptor.is_open()) {
+            this->accept();
+        }
+    });
+}
+
+void http_listener::on_accepted(tcp::socket&& socket) {
+    bool const is_full = *this->open_connections >= this->options.max_connections;
+    if (is_full && !this->free_place()) {
+        return;
+    }
+    auto const session = std::make_shared<http_session>(*this, std::move(socket));
+    this->sessions.push_back(session);
+    session->read();
+}
+
+bool http_listener::free_place() {
+    auto const now = monotonic_clock::now();
+    std::shared_ptr<http_session> found;
+    auto found_use = http_session::place_use::in_use;
+    for (auto const& entry : this->sessions) {
+        auto const session = entry.lock();
+        if (session == nullptr || !session->is_open()) {
+            continue;
+        }
+        auto const use = session->use_of_place(now);
+        bool const is_better = use < found_use || (use == found_use && found != nullptr &&
+                                                   session->last_progress() < found->last_progress());
+        if (is_better) {
+            found = session;
+            found_use = use;
+        }
+    }
+    if (found == nullptr) {
+        return false;
+    }
+    ++this->displaced_connections;
+    found->close();
+    return true;
+}
+
 bool http_listener::refuse_arriving(memory_budget::claimant const& wanting) {
     auto const now = monotonic_clock::now();
     std::shared_ptr<http_session> slowest;
--- a/libraries/http/http_listener.hpp
+++ b/libraries/http/http_listener.hpp
@@ -116,13 +116,18 @@
     std::size_t unanswered_count() const { return this->unanswered; }
     std::size_t connection_count() const { return *this->open_connections; }
     std::uint64_t unreadable_request_count() const { return this->unreadable_requests; }
-    /// Connections closed for the memory that they held.
+    /// Connections closed to make room for others: for their place, or for the memory that they held.
     std::uint64_t displaced_connection_count() const { return this->displaced_connections; }
 
 private:
     friend class http_session;
 
     void accept();
+    void on_accepted(boost::asio::ip::tcp::socket&& socket);
+    /// Goes on accepting after a pause: the process has no descriptor left.
+    void accept_later();
+    /// Closes the connection that has the least use of its place; false if all are in use.
+    bool free_place();
     /// Refuses a request that is still arriving, of another connection than the claimant.
     bool refuse_arriving(memory_budget::claimant const& wanting);
     /// Closes the connection of a caller that reads its answer too slowly.
@@ -138,6 +143,7 @@
     boost::asio::io_context& context;
     boost::asio::ip::tcp::acceptor acceptor;
     boost::asio::steady_timer sweep_timer;
+    boost::asio::steady_timer accept_timer;
     bounded_queue<listener_answer> answers;
     std::unordered_map<std::uint64_t, std::shared_ptr<http_session>> sessions_by_request;
     std::vector<std::weak_ptr<http_session>> sessions;
--- a/libraries/http/http_session.cpp
+++ b/libraries/http/http_session.cpp
@@ -220,6 +220,7 @@
 
 void http_session::on_request() {
     this->last_activity = monotonic_clock::now();
+    this->has_sent_request = true;
     auto const& dialect = this->listener.options.dialect;
     auto const size = this->arriving_size();
     auto request = this->parser->release();
@@ -549,6 +550,22 @@
            !this->arrives_too_slowly(now);
 }
 
+http_session::place_use http_session::use_of_place(time_point now) const {
+    if (this->lingering) {
+        return place_use::none;
+    }
+    if (this->writing) {
+        return this->is_read_too_slowly(now) ? place_use::stalled : place_use::in_use;
+    }
+    if (!this->pending.empty()) {
+        return place_use::in_use;
+    }
+    if (!this->parser || !this->parser->got_some()) {
+        return this->has_sent_request ? place_use::idle : place_use::unproven;
+    }
+    return this->is_transferring(now) ? place_use::in_use : place_use::unproven;
+}
+
 time_point http_session::last_progress() const {
     return std::max(
         {this->last_activity, this->arrival_progress.last_progress(), this->answer_progress.last_progress()});
--- a/libraries/http/http_session.hpp
+++ b/libraries/http/http_session.hpp
@@ -29,6 +29,9 @@
     /// answer does not count as inactivity.
     void close_if_timed_out(time_point now);
 
+    /// What the connection is used for, in the order in which connections give up their places.
+    enum class place_use : std::uint8_t { none, unproven, idle, stalled, in_use };
+    place_use use_of_place(time_point now) const;
     /// When the peer last sent or took anything.
     time_point last_progress() const;
     bool is_open() const { return this->stream.socket().is_open(); }
@@ -44,6 +47,7 @@
     /// Closes the connection with its answers unsent. Their charges end now, and their memory as soon as the
     /// write has been aborted.
     void abandon_answers();
+    void close() { this->disconnect(); }
 
 private:
     using parser_type = boost::beast::http::request_parser<received_body>;
@@ -120,7 +124,8 @@
     bool watching{false};
     bool closing{false}; ///< No further request is read.
     bool lingering{false};
-    bool refused{false};           ///< The unfinished request has been answered.
+    bool refused{false}; ///< The unfinished request has been answered.
+    bool has_sent_request{false};
     std::size_t lingered_bytes{0}; ///< Discarded so far.
 };
 
