http: Close connections whose header does not end in its time

Cause: only the idle timeout was applied, from the last complete request on.

What has arrived is read before a connection is closed, since the process may have stood still: two checks in a row have to find the header late.

--- a/libraries/http/http_listener.cpp
+++ b/libraries/http/http_listener.cpp
@@ -179,8 +179,8 @@
 }
 
 void http_listener::schedule_sweep() {
-    auto const interval_ms =
-        std::min(max_sweep_interval_ms, this->options.idle_timeout_ms * sweep_interval_fraction);
+    auto const shortest_ms = std::min(this->options.idle_timeout_ms, this->options.header_timeout_ms);
+    auto const interval_ms = std::min(max_sweep_interval_ms, shortest_ms * sweep_interval_fraction);
     this->sweep_timer.expires_after(
         std::chrono::milliseconds(std::max<std::int64_t>(1, std::llround(interval_ms))));
     this->sweep_timer.async_wait([this](boost::system::error_code error) {
--- a/libraries/http/http_listener.hpp
+++ b/libraries/http/http_listener.hpp
@@ -76,6 +76,8 @@
     std::size_t max_header{16'384};
     std::size_t max_connections{4096};
     double idle_timeout_ms{30'000};
+    /// Of a header, from its first byte to its end.
+    double header_timeout_ms{10'000};
     /// What the connections hold is drawn from it; without one it is not bounded.
     memory_budget* memory{nullptr};
     /// Requests of one connection that are processed concurrently; further ones stay unread.
--- a/libraries/http/http_session.cpp
+++ b/libraries/http/http_session.cpp
@@ -133,6 +133,8 @@
     this->parser->header_limit(static_cast<std::uint32_t>(this->listener.options.max_header));
     this->parser->body_limit(this->listener.options.max_body);
     this->parsed_bytes = 0;
+    this->header_began.reset();
+    this->header_is_overdue = false;
     this->reading = true;
     if (this->buffer.size() == 0) {
         return this->receive();
@@ -188,6 +190,12 @@
     }
     this->arrival_progress = is_new ? transfer_progress(now) : this->arrival_progress;
     this->arrival_progress.record(used, now);
+    if (this->parser->is_header_done()) {
+        this->header_began.reset();
+        this->header_is_overdue = false;
+    } else {
+        this->header_began = this->header_began.value_or(now);
+    }
     if (!this->charge_arriving()) {
         return this->refuse_arriving();
     }
@@ -221,6 +229,8 @@
 void http_session::on_request() {
     this->last_activity = monotonic_clock::now();
     this->has_sent_request = true;
+    this->header_began.reset();
+    this->header_is_overdue = false;
     auto const& dialect = this->listener.options.dialect;
     auto const size = this->arriving_size();
     auto request = this->parser->release();
@@ -280,6 +290,7 @@
     this->refused = true;
     this->parser->get().body().give_up();
     this->arriving_charge.release();
+    this->header_began.reset();
     if (!this->reading) {
         return this->free_buffer();
     }
@@ -537,7 +548,11 @@
     bool const waits_for_node = !this->pending.empty() && !this->writing;
     auto const active = this->is_transferring(now) ? this->last_progress() : this->last_activity;
     bool const is_idle = !waits_for_node && now - active >= limit;
-    if (is_idle) {
+    // What has arrived is read before the next check: the process may have stood still.
+    bool const is_overdue = this->header_is_overdue;
+    this->header_is_overdue =
+        this->header_began && now - *this->header_began >= duration{this->listener.options.header_timeout_ms};
+    if (is_idle || (is_overdue && this->header_is_overdue)) {
         this->disconnect();
     }
 }
--- a/libraries/http/http_session.hpp
+++ b/libraries/http/http_session.hpp
@@ -25,8 +25,8 @@
     void accept_answer(listener_answer&& answer);
     /// Closes the connection unless a request is pending or an answer is being written.
     void close_if_idle();
-    /// Closes the connection if its peer has been inactive for the idle timeout. Waiting for the node's
-    /// answer does not count as inactivity.
+    /// Closes the connection if its peer has been inactive for the idle timeout, or has not sent a whole
+    /// header in its time. Waiting for the node's answer does not count as inactivity.
     void close_if_timed_out(time_point now);
 
     /// What the connection is used for, in the order in which connections give up their places.
@@ -111,9 +111,10 @@
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     std::optional<parser_type> parser;
-    memory_charge arriving_charge;      ///< For the unfinished request, and for what is read ahead.
-    std::size_t parsed_bytes{0};        ///< Of the unfinished request.
-    transfer_progress arrival_progress; ///< Of the unfinished request.
+    memory_charge arriving_charge;          ///< For the unfinished request, and for what is read ahead.
+    std::size_t parsed_bytes{0};            ///< Of the unfinished request.
+    transfer_progress arrival_progress;     ///< Of the unfinished request.
+    std::optional<time_point> header_began; ///< Set while a header has come in part.
     std::optional<response_type> response;
     std::optional<serializer_type> serializer;
     transfer_progress answer_progress;
@@ -126,6 +127,7 @@
     bool lingering{false};
     bool refused{false}; ///< The unfinished request has been answered.
     bool has_sent_request{false};
+    bool header_is_overdue{false};
     std::size_t lingered_bytes{0}; ///< Discarded so far.
 };
 
--- a/libraries/node/node_runtime.cpp
+++ b/libraries/node/node_runtime.cpp
@@ -107,18 +107,19 @@
 }
 
 std::unique_ptr<http_listener> node_runtime::make_listener(endpoint const& address, listener_side side) {
-    return std::make_unique<http_listener>(listener_settings{.address = address.address,
-                                                             .port = address.port,
-                                                             .side = side,
-                                                             .max_body = this->options.max_body,
-                                                             .max_header = this->options.max_header,
-                                                             .max_connections = this->options.max_connections,
-                                                             .idle_timeout_ms = this->options.idle_timeout_ms,
-                                                             .memory = &this->memory,
-                                                             .max_pipeline = this->options.max_pipeline,
-                                                             .dialect = this->binding.dialect},
-                                           this->make_listener_events(side),
-                                           event_loop_handle(this->core.loop()));
+    return std::make_unique<http_listener>(
+        listener_settings{.address = address.address,
+                          .port = address.port,
+                          .side = side,
+                          .max_body = this->options.max_body,
+                          .max_header = this->options.max_header,
+                          .max_connections = this->options.max_connections,
+                          .idle_timeout_ms = this->options.idle_timeout_ms,
+                          .header_timeout_ms = this->options.header_timeout_ms,
+                          .memory = &this->memory,
+                          .max_pipeline = this->options.max_pipeline,
+                          .dialect = this->binding.dialect},
+        this->make_listener_events(side), event_loop_handle(this->core.loop()));
 }
 
 result<void> node_runtime::start() {
--- a/tests/http/http_listener_test.cpp
+++ b/tests/http/http_listener_test.cpp
@@ -214,6 +214,37 @@
     CHECK(after.read_answer().body == "b");
 }
 
+// Half a header kept its place for the whole idle timeout.
+TEST_CASE("a connection is closed whose header does not end in its time, and a slow one is served") {
+    auto const port = next_port();
+    http_listener* listening = nullptr;
+    http_listener listener(
+        {.address = "127.0.0.1", .port = port, .idle_timeout_ms = 600'000, .header_timeout_ms = 1000},
+        {.request =
+             [&listening](listener_request&& request) {
+                 listening->enqueue_answer({.id = request.id, .status = 200});
+                 return true;
+             },
+         .disconnected = [](std::uint64_t) {}});
+    listening = &listener;
+    tests::open_or_fail(listener);
+    test_client unfinished("127.0.0.1", port);
+    REQUIRE(unfinished.send_raw("GET /a HTTP/1.1\r\nHost: x\r\n"));
+    test_client slow("127.0.0.1", port);
+    for (std::string const part : {"GET /a HTTP/1.1\r\n", "Host: x\r\n", "\r\n"}) {
+        REQUIRE(slow.send_raw(part));
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    CHECK(slow.read_answer().status == 200);
+    auto const until = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (listener.connection_count() > 1 && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    CHECK(listener.connection_count() == 1);
+    REQUIRE(slow.send_raw("GET /b HTTP/1.1\r\nHost: x\r\n\r\n"));
+    CHECK(slow.read_answer().status == 200);
+}
+
 // A long body had to arrive within one idle timeout, whatever its pace.
 TEST_CASE("a body that keeps arriving may take longer than the idle timeout") {
     manual_listener fixture; // Its idle timeout is two seconds.
